Add the experiment tool: open-loop overload on real daemons

Cause: the decisions under load need a measurement before they can be changed.

Change: `npm run bench -- list|run`: a chain of services with a bottleneck at its end, Poisson arrivals counted from when they were due, clients that time out after 1.5 s and resend up to three times, the plain path as variant `unprotected`, ledgers of the upstreams compared with what callers were told. Answers and refusals now carry the request id, which the comparison needs.

--- /dev/null
+++ b/packages/bench/src/chain.ts
@@ -0,0 +1,59 @@
+/** A deployment for experiments: a chain of services, the last of which is the bottleneck. */
+import { type OperatorFile, checkOperatorFile } from '@cleatquay/settings';
+import { type FleetOptions } from './fleet.js';
+
+/** Most important first, as in the operators' files. */
+export const CLASSES = ['critical', 'normal', 'bulk'] as const;
+/** A class of the chain's entry routes. */
+export type ChainClass = (typeof CLASSES)[number];
+
+const DOMAINS = ['domain-a', 'domain-b', 'domain-c'];
+const UPSTREAMS = 3;
+const TIMEOUT_MS = 2000;
+const UPPER = { slots: 64, serviceMs: 8 };
+const BOTTLENECK = { slots: 8, serviceMs: 80 };
+
+/** Requests a second that the bottleneck can answer. */
+export const CHAIN_CAPACITY = (UPSTREAMS * BOTTLENECK.slots * 1000) / BOTTLENECK.serviceMs;
+
+/** Name of the service at a depth, from 1. */
+export function serviceAt(depth: number): string {
+  return `s${String(depth)}`;
+}
+
+/** The operators' file of a chain; `fanOut` calls of each service go to the next. */
+export function chainFile(depth: number, fanOut = 1): OperatorFile {
+  const services: Record<string, unknown> = {};
+  for (let at = 1; at <= depth; at++) {
+    const { slots } = at === depth ? BOTTLENECK : UPPER;
+    const calls = at < depth ? Array.from({ length: fanOut }, () => `${serviceAt(at + 1)}.run`) : [];
+    const route = { idempotent: true, timeoutMs: TIMEOUT_MS, calls };
+    const run = { ...route, method: 'GET', path: '/run', class: CLASSES[2] };
+    const entries = {
+      critical: { ...route, idempotent: false, method: 'POST', path: '/critical', class: CLASSES[0] },
+      normal: { ...route, method: 'GET', path: '/normal', class: CLASSES[1] },
+      bulk: { ...route, method: 'GET', path: '/bulk', class: CLASSES[2] },
+    };
+    services[serviceAt(at)] = { slots, maxQueueMs: 60, routes: at === 1 ? entries : { run } };
+  }
+  const file = {
+    deployment: 'chain',
+    classes: [...CLASSES],
+    retryBudget: 3,
+    requestIdLifetimeMs: 60_000,
+    services,
+  };
+  return checkOperatorFile(file);
+}
+
+/** The VMs of a chain: three of each service, one in each failure domain. */
+export function chainNodes(depth: number): FleetOptions['nodes'] {
+  return Array.from({ length: depth * UPSTREAMS }, (_, i) => {
+    const at = Math.floor(i / UPSTREAMS) + 1;
+    return {
+      service: serviceAt(at),
+      failureDomain: DOMAINS[i % DOMAINS.length] ?? '',
+      behaviour: at === depth ? BOTTLENECK : UPPER,
+    };
+  });
+}
--- /dev/null
+++ b/packages/bench/src/experiments/index.ts
@@ -0,0 +1,74 @@
+/** The experiments by name. */
+import { type ExperimentResult, violationsOf } from '../results.js';
+import { type OverloadShape, VARIANTS, runOverload } from './overload.js';
+
+/** One experiment. */
+export interface Experiment {
+  readonly summary: string;
+  readonly run: (options: ExperimentOptions) => Promise<ExperimentResult>;
+}
+
+/** What the command line gives. */
+export interface ExperimentOptions {
+  readonly name: string;
+  readonly seed: string;
+  readonly variants: readonly string[];
+  readonly log: (line: string) => void;
+}
+
+const MOST_TRIES = 4;
+
+function overload(summary: string, shape: OverloadShape): Experiment {
+  return {
+    summary,
+    run: async ({ name, seed, variants, log }) => {
+      const result: ExperimentResult = { experiment: name, seed, variants: {}, violations: [] };
+      for (const variant of variants.length > 0 ? variants : Object.keys(VARIANTS)) {
+        log(`Running ${name}, ${variant}.`);
+        const figures = await runOverload(shape, variant, seed);
+        result.variants[variant] = figures;
+        if (variant !== 'unprotected') result.violations.push(...violationsOf(variant, figures, MOST_TRIES));
+      }
+      return result;
+    },
+  };
+}
+
+/** All of them. */
+export const experiments: Readonly<Record<string, Experiment>> = {
+  steady: overload('85% load, nothing goes wrong', { depth: 3, demand: 0.85, slowFactor: 1, normal: 0.85 }),
+  surge: overload('three times the capacity is asked for', { depth: 3, demand: 3, slowFactor: 1 }),
+  'deep-slowdown': overload('the deepest of four services slows down threefold', {
+    depth: 4,
+    demand: 0.7,
+    slowFactor: 3,
+  }),
+  'slowdown-and-surge': overload('the deepest of four slows down twofold while demand doubles', {
+    depth: 4,
+    demand: 1.5,
+    slowFactor: 2,
+  }),
+  'slowdown-and-surge-7': overload('the same, seven deep', { depth: 7, demand: 1.5, slowFactor: 2 }),
+  'upstream-kill': overload('one of three upstreams of the deepest service is killed', {
+    depth: 3,
+    demand: 0.7,
+    slowFactor: 1,
+    disturb: async (_fleet, [first]) => Promise.resolve(first?.upstream.signal('SIGKILL')),
+  }),
+  'gray-upstream': overload('one of three upstreams of the deepest service answers ten times slower', {
+    depth: 3,
+    demand: 0.5,
+    slowFactor: 1,
+    normal: 0.5,
+    disturb: async (fleet, [first]) => {
+      if (first) await fleet.behave(first, { slowFactor: 10 });
+    },
+  }),
+  'platform-outage-under-surge': overload('a surge while the platform gives no answers', {
+    depth: 3,
+    demand: 3,
+    slowFactor: 1,
+    disturb: fleet => fleet.disturbPlatform({ down: true }),
+    calm: fleet => fleet.disturbPlatform({ down: false }),
+  }),
+};
--- /dev/null
+++ b/packages/bench/src/experiments/overload.ts
@@ -0,0 +1,135 @@
+/** Experiments of overload: normal load, a trigger, and the time after it, on a chain of services. */
+import { SystemClock, seededRandom } from '@cleatquay/clock';
+import { cpus } from 'node:os';
+import { CHAIN_CAPACITY, chainFile, chainNodes, serviceAt } from '../chain.js';
+import { Fleet, type FleetNode } from '../fleet.js';
+import { Load } from '../load.js';
+import {
+  type Trigger,
+  type VariantResult,
+  inversions,
+  outcomes,
+  rates,
+  recoverySeconds,
+  truth,
+} from '../results.js';
+import { type TemporaryFile, writeOperatorFile } from '../temporaryFile.js';
+
+const WARM_UP_MS = 4000;
+const BEFORE_MS = 4000;
+const TRIGGER_MS = 10_000;
+const AFTER_MS = 10_000;
+const RAMP_MS = 2000;
+const NORMAL_LOAD = 0.7;
+
+/** The trigger of an experiment. */
+export interface OverloadShape {
+  readonly depth: number;
+  /** Demand during the trigger, as a share of the bottleneck's normal capacity. */
+  readonly demand: number;
+  /** Slow-down of the bottleneck during the trigger. */
+  readonly slowFactor: number;
+  /** Demand before and after; 0.7 unless given. */
+  readonly normal?: number;
+  /** What else goes wrong while the trigger lasts. */
+  readonly disturb?: (fleet: Fleet, bottleneck: FleetNode[]) => Promise<void>;
+  /** Ends the disturbance. */
+  readonly calm?: (fleet: Fleet, bottleneck: FleetNode[]) => Promise<void>;
+}
+
+/** Flags of the daemons by variant. */
+export const VARIANTS: Readonly<Record<string, readonly string[]>> = {
+  unprotected: ['--protection=false'],
+  full: [],
+};
+
+/** Runs one variant. */
+export async function runOverload(
+  shape: OverloadShape,
+  variant: string,
+  seed: string,
+): Promise<VariantResult> {
+  const file = chainFile(shape.depth);
+  using saved: TemporaryFile = writeOperatorFile(file);
+  const daemonFlags = VARIANTS[variant] ?? [];
+  await using fleet = await Fleet.start({
+    path: saved.path,
+    file,
+    nodes: chainNodes(shape.depth),
+    seed,
+    daemonFlags,
+  });
+  const clock = new SystemClock();
+  const entries = fleet.nodes.filter(node => node.service === serviceAt(1));
+  const bottleneck = fleet.nodes.filter(node => node.service === serviceAt(shape.depth));
+  const urls = entries.map(node => `http://${node.addresses.caller}`);
+  await using load = new Load(urls, clock, seededRandom(`${seed}-${variant}`), variant);
+  const normal = CHAIN_CAPACITY * (shape.normal ?? NORMAL_LOAD);
+  load.rate = normal;
+  load.start();
+  await clock.sleep(WARM_UP_MS + BEFORE_MS);
+  await fleet.resetWork();
+  const usage = processorUse();
+  const from = clock.now();
+  load.rate = CHAIN_CAPACITY * shape.demand;
+  await Promise.all(bottleneck.map(node => fleet.behave(node, { slowFactor: shape.slowFactor })));
+  await shape.disturb?.(fleet, bottleneck);
+  await clock.sleep(TRIGGER_MS);
+  load.rate = normal;
+  await Promise.all(bottleneck.map(node => fleet.behave(node, { slowFactor: 1 })));
+  await shape.calm?.(fleet, bottleneck);
+  const trigger: Trigger = { from, to: clock.now() };
+  const used = usage();
+  await clock.sleep(AFTER_MS);
+  const end = clock.now();
+  await load.stop();
+  const capacity = CHAIN_CAPACITY / shape.slowFactor;
+  return { ...(await figures(fleet, load, trigger, end, capacity)), processorUse: used };
+}
+
+async function figures(fleet: Fleet, load: Load, trigger: Trigger, end: number, capacity: number) {
+  const { samples } = load;
+  const settled = trigger.from + RAMP_MS;
+  const goodput = rates(samples, settled, trigger.to, true);
+  const offered = rates(samples, settled, trigger.to, false);
+  const works = await Promise.all(
+    fleet.nodes.map(node => fleet.work(node).catch(() => ({ useful: 0, wasted: 0 }))),
+  );
+  const wasted = works.reduce((sum, work) => sum + work.wasted, 0);
+  const useful = works.reduce((sum, work) => sum + work.useful, 0);
+  const first = fleet.nodes.filter(node => node.service === serviceAt(1));
+  const ledgers = await Promise.all(first.map(node => fleet.ledger(node).catch(() => [])));
+  const shares = Object.keys(offered.byClass).map(name => {
+    const due = offered.byClass[name] ?? 0;
+    return [name, due === 0 ? 1 : (goodput.byClass[name] ?? 0) / due] as const;
+  });
+  return {
+    goodput,
+    offered,
+    answeredShare: Object.fromEntries(shares),
+    capacity,
+    goodputOverCapacity: goodput.total / Math.min(capacity, offered.total),
+    recoverySeconds: recoverySeconds(samples, trigger, end),
+    wastedWorkFraction: wasted / Math.max(1, useful + wasted),
+    outcomes: outcomes(samples, settled, trigger.to),
+    inversions: inversions(samples, { from: settled, to: trigger.to }),
+    ...truth(samples, ledgers.flat()),
+  };
+}
+
+/** Starts to measure; call the result for the mean share of processors in use since. */
+function processorUse(): () => number {
+  const total = () =>
+    cpus().reduce(
+      ({ busy, all }, { times }) => {
+        const sum = Object.values(times).reduce((a, b) => a + b, 0);
+        return { busy: busy + sum - times.idle, all: all + sum };
+      },
+      { busy: 0, all: 0 },
+    );
+  const before = total();
+  return () => {
+    const after = total();
+    return (after.busy - before.busy) / (after.all - before.all);
+  };
+}
--- /dev/null
+++ b/packages/bench/src/load.ts
@@ -0,0 +1,192 @@
+/** Open-loop load: arrivals that don't wait for answers, and clients that time out and retry hard. */
+import { type Clock, type Random } from '@cleatquay/clock';
+import { type Dispatcher, Pool } from 'undici';
+import { CLASSES, type ChainClass, serviceAt } from './chain.js';
+
+const CLIENT_TIMEOUT_MS = 1500;
+const HARD_RESENDS = 3;
+const RESEND_AFTER_MS = 50;
+const CONNECTIONS = 400;
+const TICK_MS = 2;
+const ID_BATCH = 20;
+
+/** How one client request went, all its sends together. */
+export interface Sample {
+  readonly className: ChainClass;
+  /** When it was due, ms on the load's clock. */
+  readonly at: number;
+  readonly ms: number;
+  readonly outcome: 'answered' | 'not-run' | 'unknown' | 'failed';
+  readonly whole: boolean;
+  readonly mismatched: boolean;
+  readonly sends: number;
+  readonly token: string;
+  /** Ids that were said to have run nowhere. */
+  readonly notRunIds: string[];
+}
+
+/** Share of each class in the demand. */
+export const MIX: Readonly<Record<ChainClass, number>> = { critical: 0.2, normal: 0.3, bulk: 0.5 };
+
+/** Sends requests at a rate that can be changed, and keeps a sample of each. */
+export class Load implements AsyncDisposable {
+  readonly samples: Sample[] = [];
+  /** Requests a second. */
+  rate = 0;
+  private readonly pools: Pool[];
+  private readonly pending = new Set<Promise<void>>();
+  private readonly ids: string[] = [];
+  private count = 0;
+  private stopped = false;
+  private arrivals: Promise<void> = Promise.resolve();
+
+  constructor(
+    urls: readonly string[],
+    private readonly clock: Clock,
+    private readonly random: Random,
+    private readonly name: string,
+  ) {
+    this.pools = urls.map(
+      url => new Pool(url, { connections: CONNECTIONS, headersTimeout: 0, bodyTimeout: 0 }),
+    );
+  }
+
+  /** Starts the arrivals. */
+  start(): void {
+    this.arrivals = this.arrive();
+  }
+
+  /** Ends the arrivals and waits for what is out. */
+  async stop(): Promise<void> {
+    this.stopped = true;
+    await this.arrivals;
+    await Promise.all(this.pending);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.stopped = true;
+    await this.arrivals;
+    await Promise.all(this.pools.map(pool => pool.destroy()));
+  }
+
+  /** A Poisson process; latencies count from when a request was due, not from when it could be sent. */
+  private async arrive(): Promise<void> {
+    let due = this.clock.now();
+    while (!this.stopped) {
+      const now = this.clock.now();
+      while (due <= now && this.rate > 0) {
+        const request = this.send(due).finally(() => this.pending.delete(request));
+        this.pending.add(request);
+        due += (-Math.log(1 - this.random()) * 1000) / this.rate;
+      }
+      if (this.rate === 0) due = now;
+      await this.clock.sleep(TICK_MS);
+    }
+  }
+
+  private pickClass(): ChainClass {
+    let left = this.random();
+    return CLASSES.find(name => (left -= MIX[name]) < 0) ?? 'bulk';
+  }
+
+  private async send(at: number): Promise<void> {
+    const className = this.pickClass();
+    const token = `${this.name}-${String(++this.count)}`;
+    const notRunIds: string[] = [];
+    let id: string | undefined;
+    let result = NOTHING;
+    let sends = 0;
+    const end = at + CLIENT_TIMEOUT_MS;
+    while (sends <= HARD_RESENDS && this.clock.now() < end && result.outcome !== 'answered') {
+      if (sends > 0) await this.clock.sleep(RESEND_AFTER_MS * this.random());
+      sends++;
+      const pool = this.pools[Math.floor(this.random() * this.pools.length)];
+      if (className === 'critical') id ??= await this.takeId(pool);
+      result = await attempt(pool, { className, token, id, timeoutMs: end - this.clock.now() });
+      if (result.outcome !== 'not-run') continue;
+      notRunIds.push(result.requestId);
+      id = undefined;
+    }
+    const { outcome, whole, mismatched } = result;
+    this.samples.push({
+      className,
+      at,
+      ms: this.clock.now() - at,
+      token,
+      sends,
+      notRunIds,
+      outcome,
+      whole,
+      mismatched,
+    });
+  }
+
+  /** Ids come in batches, so that a resend can be known for one. */
+  private async takeId(pool: Pool | undefined): Promise<string | undefined> {
+    if (this.ids.length > 0) return this.ids.pop();
+    const answer = await pool
+      ?.request({ method: 'POST', path: `/cleatquay/ids?count=${String(ID_BATCH)}` })
+      .catch(() => undefined);
+    const body = (await answer?.body.json().catch(() => undefined)) as { ids?: string[] } | undefined;
+    this.ids.push(...(body?.ids ?? []));
+    return this.ids.pop();
+  }
+}
+
+interface Attempt {
+  readonly className: ChainClass;
+  readonly token: string;
+  readonly id: string | undefined;
+  readonly timeoutMs: number;
+}
+
+interface Attempted {
+  readonly outcome: Sample['outcome'];
+  readonly whole: boolean;
+  readonly mismatched: boolean;
+  readonly requestId: string;
+}
+
+const NOTHING: Attempted = { outcome: 'unknown', whole: false, mismatched: false, requestId: '' };
+
+async function attempt(
+  pool: Pool | undefined,
+  { className, token, id, timeoutMs }: Attempt,
+): Promise<Attempted> {
+  if (!pool || timeoutMs <= 0) return NOTHING;
+  const isCritical = className === 'critical';
+  try {
+    const answer = await pool.request({
+      method: isCritical ? 'POST' : 'GET',
+      path: `/${serviceAt(1)}/${className}`,
+      headers: {
+        'x-token': token,
+        'cleatquay-timeout-ms': String(Math.ceil(timeoutMs)),
+        ...(id === undefined ? {} : { 'cleatquay-request-id': id }),
+      },
+      body: isCritical ? '{}' : null,
+      signal: AbortSignal.timeout(Math.ceil(timeoutMs)),
+    });
+    return judge(answer, token, await answer.body.text());
+  } catch {
+    return NOTHING;
+  }
+}
+
+function judge(answer: Dispatcher.ResponseData, token: string, text: string): Attempted {
+  const outcome = (answer.headers['cleatquay-outcome'] ?? 'unknown') as Sample['outcome'];
+  const requestId = String(answer.headers['cleatquay-request-id'] ?? '');
+  if (answer.statusCode !== 200)
+    return { ...NOTHING, outcome: outcome === 'answered' ? 'failed' : outcome, requestId };
+  const body = parse(text);
+  const whole = body !== undefined;
+  return { outcome: 'answered', whole, mismatched: whole && body.token !== token, requestId };
+}
+
+function parse(text: string): { token?: string } | undefined {
+  try {
+    return JSON.parse(text) as { token?: string };
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/bench/src/main.ts
@@ -0,0 +1,70 @@
+/** `npm run bench -- list | run <experiment>` */
+import yargs from 'yargs';
+import { hideBin } from 'yargs/helpers';
+import { experiments } from './experiments/index.js';
+import { table } from './output.js';
+import { type ExperimentResult } from './results.js';
+
+const EXIT_VIOLATION = 1;
+
+await yargs(hideBin(process.argv))
+  .scriptName('bench')
+  .command(
+    'list',
+    'the experiments',
+    y => y,
+    () => {
+      const rows = Object.entries(experiments).map(([name, { summary }]) => [name, summary]);
+      process.stdout.write(`${table(['experiment', 'what happens'], rows)}\n`);
+    },
+  )
+  .command(
+    'run <experiment>',
+    'run an experiment on real daemons',
+    y =>
+      y.positional('experiment', { choices: Object.keys(experiments), demandOption: true }).options({
+        seed: { type: 'string', default: '1' },
+        variants: { type: 'string', default: '', describe: 'comma-separated; all unless given' },
+        json: { type: 'boolean', default: false, describe: 'one JSON object on stdout and nothing else' },
+      }),
+    async argv => {
+      const log = (line: string) => void (argv.json || process.stdout.write(`${line}\n`));
+      const variants = argv.variants === '' ? [] : argv.variants.split(',');
+      const result = await experiments[argv.experiment]?.run({
+        name: argv.experiment,
+        seed: argv.seed,
+        variants,
+        log,
+      });
+      if (!result) return;
+      process.stdout.write(argv.json ? JSON.stringify(result) : describe(result));
+      process.stdout.write('\n');
+      process.exitCode = result.violations.length > 0 ? EXIT_VIOLATION : 0;
+    },
+  )
+  .demandCommand(1)
+  .strict()
+  .parse();
+
+function describe({ variants, violations, seed }: ExperimentResult): string {
+  const names = Object.keys(variants);
+  const figures = [...new Set(Object.values(variants).flatMap(variant => Object.keys(flat(variant))))];
+  const rows = figures.map(figure => [
+    figure,
+    ...names.map(name => flat(variants[name] ?? {})[figure] ?? ''),
+  ]);
+  const broken = violations.length === 0 ? 'No invariant was violated.' : violations.join('\n');
+  return `${table([`seed ${seed}`, ...names], rows)}\n${broken}`;
+}
+
+/** Nested figures as `goodput.total`, rounded. */
+function flat(value: object, prefix = ''): Record<string, string> {
+  return Object.fromEntries(
+    Object.entries(value).flatMap(([key, inner]: [string, unknown]): [string, string][] => {
+      if (typeof inner === 'object' && inner !== null) return Object.entries(flat(inner, `${prefix}${key}.`));
+      return [
+        [prefix + key, typeof inner === 'number' ? String(Math.round(inner * 1000) / 1000) : String(inner)],
+      ];
+    }),
+  );
+}
--- /dev/null
+++ b/packages/bench/src/results.ts
@@ -0,0 +1,137 @@
+/** What an experiment gives: figures for each variant, and violated invariants. */
+import { type Effect } from '@cleatquay/standins';
+import { CLASSES, type ChainClass } from './chain.js';
+import { type Sample } from './load.js';
+
+/** Figures of one variant. Rates are in requests a second. */
+export interface VariantResult {
+  goodput: { total: number; byClass: Record<string, number> };
+  offered: { total: number; byClass: Record<string, number> };
+  /** Share of each class that was answered whole, over the trigger. */
+  answeredShare: Record<string, number>;
+  capacity: number;
+  goodputOverCapacity: number;
+  /** From the end of the trigger until goodput is normal for good; -1 when it never was. */
+  recoverySeconds: number;
+  /** Most runs of one client send at the first service, by its own ledger. */
+  triesPerRequestMax: number;
+  /** Share of the upstreams' work that went into requests that failed. */
+  wastedWorkFraction: number;
+  notRunButRan: number;
+  doubleEffects: number;
+  incompleteAnswers: number;
+  mismatchedAnswers: number;
+  unknownShare: number;
+  /** How requests that were due during the trigger ended, by class. */
+  outcomes: Record<string, Record<string, number>>;
+  /** Mean share of the machine's processors in use; above 0.85 the figures say little. */
+  processorUse: number;
+  /** Seconds in which a class was refused while a less important one was answered at a higher share. */
+  inversions: number;
+}
+
+/** What `bench run --json` prints. */
+export interface ExperimentResult {
+  experiment: string;
+  seed: string;
+  variants: Record<string, VariantResult>;
+  violations: string[];
+}
+
+/** When the trigger began and ended, ms on the load's clock. */
+export interface Trigger {
+  readonly from: number;
+  readonly to: number;
+}
+
+const BUCKET_MS = 500;
+const NORMAL = 0.95;
+const SETTLE_MS = 1000;
+const INVERSION_MARGIN = 0.1;
+
+/** Rate of whole answers by class between two times. */
+export function rates(samples: readonly Sample[], from: number, to: number, whole: boolean) {
+  const seconds = (to - from) / 1000;
+  const counted = samples.filter(s => s.at >= from && s.at < to && (!whole || s.whole));
+  const of = (name: ChainClass) => counted.filter(s => s.className === name).length / seconds;
+  const byClass = Object.fromEntries(CLASSES.map(name => [name, of(name)]));
+  return { total: counted.length / seconds, byClass };
+}
+
+/** How requests that were due between two times ended, by class. */
+export function outcomes(samples: readonly Sample[], from: number, to: number): VariantResult['outcomes'] {
+  const counted: VariantResult['outcomes'] = {};
+  for (const { className, outcome, at } of samples) {
+    if (at < from || at >= to) continue;
+    const row = (counted[className] ??= {});
+    row[outcome] = (row[outcome] ?? 0) + 1;
+  }
+  return counted;
+}
+
+/** Goodput by time of answer, in buckets of half a second. */
+export function goodputOverTime(samples: readonly Sample[], from: number, to: number): number[] {
+  const buckets = new Array<number>(Math.ceil((to - from) / BUCKET_MS)).fill(0);
+  for (const sample of samples) {
+    const bucket = Math.floor((sample.at + sample.ms - from) / BUCKET_MS);
+    const count = buckets[bucket];
+    if (sample.whole && count !== undefined) buckets[bucket] = count + 1;
+  }
+  return buckets.map(count => (count * 1000) / BUCKET_MS);
+}
+
+/** Seconds from the trigger's end until the share of answered requests is normal for a second on end; -1 for never. */
+export function recoverySeconds(samples: readonly Sample[], trigger: Trigger, end: number): number {
+  const share = (from: number, to: number) => {
+    const due = samples.filter(s => s.at >= from && s.at < to);
+    return due.length === 0 ? 1 : due.filter(s => s.whole).length / due.length;
+  };
+  for (let at = trigger.to; at + SETTLE_MS <= end; at += BUCKET_MS / 2) {
+    if (share(at, at + SETTLE_MS) >= NORMAL && share(at, end) >= NORMAL) return (at - trigger.to) / 1000;
+  }
+  return -1;
+}
+
+/** Seconds in which the order of refusal was turned round. */
+export function inversions(samples: readonly Sample[], trigger: Trigger): number {
+  let count = 0;
+  for (let at = trigger.from; at < trigger.to; at += 1000) {
+    const shares = CLASSES.map(name => {
+      const due = samples.filter(s => s.className === name && s.at >= at && s.at < at + 1000);
+      return due.length === 0 ? undefined : due.filter(s => s.whole).length / due.length;
+    }).filter(share => share !== undefined);
+    if (shares.some((share, i) => (shares[i + 1] ?? 0) > share + INVERSION_MARGIN)) count++;
+  }
+  return count;
+}
+
+/** Compares what callers were told with what the first service did. */
+export function truth(samples: readonly Sample[], ledger: readonly Effect[]) {
+  const ran = new Set(ledger.map(effect => effect.requestId));
+  const doneByToken = new Map<string, number>();
+  const runsById = new Map<string, number>();
+  for (const { token, route, done, requestId } of ledger) {
+    if (done && route.endsWith('.critical')) doneByToken.set(token, (doneByToken.get(token) ?? 0) + 1);
+    runsById.set(requestId, (runsById.get(requestId) ?? 0) + 1);
+  }
+  return {
+    notRunButRan: samples.flatMap(s => s.notRunIds).filter(id => id !== '' && ran.has(id)).length,
+    doubleEffects: [...doneByToken.values()].filter(count => count > 1).length,
+    incompleteAnswers: samples.filter(s => s.outcome === 'answered' && !s.whole).length,
+    mismatchedAnswers: samples.filter(s => s.mismatched).length,
+    triesPerRequestMax: Math.max(0, ...runsById.values()),
+    unknownShare: samples.filter(s => s.outcome === 'unknown').length / Math.max(1, samples.length),
+  };
+}
+
+/** Broken promises, as short sentences. */
+export function violationsOf(variant: string, result: VariantResult, mostTries: number): string[] {
+  const found: string[] = [];
+  const expectZero = (name: 'notRunButRan' | 'doubleEffects' | 'incompleteAnswers' | 'mismatchedAnswers') => {
+    if (result[name] > 0) found.push(`${variant}: ${name} is ${String(result[name])}.`);
+  };
+  (['notRunButRan', 'doubleEffects', 'incompleteAnswers', 'mismatchedAnswers'] as const).forEach(expectZero);
+  if (result.triesPerRequestMax > mostTries)
+    found.push(`${variant}: ${String(result.triesPerRequestMax)} tries of one request.`);
+  return found;
+}
--- a/packages/calls/src/entry.ts
+++ b/packages/calls/src/entry.ts
@@ -38,6 +38,8 @@
   readonly parent: string | undefined;
   readonly callKey: string | undefined;
   readonly timeoutMs: number | undefined;
+  /** Told the id that the request got. */
+  readonly onRequestId?: (requestId: string) => void;
 }
 
 /** What the entry needs of its daemon. */
@@ -77,7 +79,7 @@
     return lifetimeMs !== undefined && home.hasRoom ? ids.issue(lifetimeMs) : undefined;
   }
 
-  /** One request; the first part comes with the id that it got, if it is a new one. */
+  /** One request of a caller, or one call of the upstream beside this daemon. */
   async *handle(
     request: CallerRequest,
     source: AsyncIterable<Uint8Array>,
@@ -192,6 +194,7 @@
     const lifetimeMs = this.options.graph()?.file.requestIdLifetimeMs ?? 0;
     if (route.idempotent) {
       const context = this.rootContext(route, request.requestId ?? ids.issue(lifetimeMs), request.timeoutMs);
+      request.onRequestId?.(context.requestId);
       yield* forwarder.forward(route, headOf(request, context), context, body, signal);
       return;
     }
@@ -206,6 +209,7 @@
       return;
     }
     const context = this.rootContext(route, id, request.timeoutMs);
+    request.onRequestId?.(id);
     yield* this.withId({ route, head: headOf(request, context), context, body, signal });
   }
 
--- a/packages/daemon/src/callerGateway.ts
+++ b/packages/daemon/src/callerGateway.ts
@@ -32,7 +32,8 @@
     const leaving = options.leaving();
     if (leaving) response.setHeader('connection', 'close');
     try {
-      const parsed = callerRequest(request);
+      const onRequestId = (id: string) => void response.setHeader(headerNames.requestId, id);
+      const parsed: CallerRequest = { ...callerRequest(request), onRequestId };
       if (leaving === 'refusing' && parsed.parent === undefined) return refuseLeaving(parsed, response);
       const refusal = await writeAnswer(response, options.entry.handle(parsed, bodyOf(request), gone.signal));
       end(parsed.service, refusal);
--- a/packages/daemon/src/upstreams.ts
+++ b/packages/daemon/src/upstreams.ts
@@ -124,7 +124,7 @@
       clock,
       random,
       classes: file()?.classes.length ?? 1,
-      slots: protection ? slots : Number.MAX_SAFE_INTEGER,
+      slots: protection ? slots : UNLIMITED_SLOTS,
       maxQueueMs: service?.maxQueueMs ?? DEFAULT_QUEUE_MS,
       cold: protection,
     });
@@ -196,6 +196,8 @@
 }
 
 const DEFAULT_QUEUE_MS = 50;
+/** Stands for no limit on the plain path. */
+const UNLIMITED_SLOTS = 1_000_000;
 
 async function accepts(ip: string, port: number): Promise<boolean> {
   return new Promise(resolve => {
