Let the top class wait longer than the rest

Ruled out: missing retry tokens (handing down the larger half instead of the smaller changed nothing that stands out of the noise; kept, since refused tries give their tokens back), early refusals at the entry (none of the top class).

Change: the short queue bounds the classes below the top; the top class may hold four times as many, for four times as long. Its waiters still run first and still respect their deadlines.

--- a/packages/admission/src/admission.ts
+++ b/packages/admission/src/admission.ts
@@ -6,6 +6,7 @@
 
 const TICK_MS = 25;
 const SMALLEST_QUEUE = 2;
+const TOP_PATIENCE = 4;
 const FIRST_GUESS_MS = 20;
 const LATENCY_WEIGHT = 0.05;
 const SHORTEST_RETRY_AFTER_MS = 500;
@@ -128,7 +129,7 @@
     const leave = () => this.drop(waiter);
     signal.addEventListener('abort', leave, { once: true });
     this.insert(waiter);
-    if (this.queue.length > this.capacity()) this.evict();
+    this.evictIfFull();
   }
 
   /** Keeps the queue in order of level, first come first among equals. */
@@ -149,11 +150,19 @@
     return Math.max(SMALLEST_QUEUE, Math.floor((this.limit.value * maxQueueMs) / this.latencyMs));
   }
 
-  private evict(): void {
-    const worst = this.queue.pop();
+  /** The top class may wait longer: behind work that is never interrupted, its own short bursts overflow a short queue. */
+  private evictIfFull(): void {
+    const top = this.topCount();
+    const isFull = this.queue.length - top > this.capacity() || top > this.capacity() * TOP_PATIENCE;
+    const worst = isFull ? this.queue.pop() : undefined;
     if (worst) this.refuse(worst);
   }
 
+  private topCount(): number {
+    const first = this.queue.findIndex(waiter => waiter.level >= 1);
+    return first < 0 ? this.queue.length : first;
+  }
+
   private refuse(waiter: Waiter): void {
     this.level.refused(waiter.level);
     this.refusedInTick = true;
@@ -192,8 +201,9 @@
 
   private tick(): void {
     const { clock, maxQueueMs } = this.options;
-    const oldest = clock.now() - 2 * maxQueueMs;
-    for (const waiter of this.queue.filter(w => w.since < oldest)) {
+    const now = clock.now();
+    const isOld = ({ level, since }: Waiter) => now - since > 2 * maxQueueMs * (level < 1 ? TOP_PATIENCE : 1);
+    for (const waiter of this.queue.filter(isOld)) {
       this.queue.splice(this.queue.indexOf(waiter), 1);
       this.refuse(waiter);
     }
--- a/packages/calls/src/forwarder.ts
+++ b/packages/calls/src/forwarder.ts
@@ -75,7 +75,7 @@
       }
       const { candidate } = selection;
       journal.note(context.requestId, `Try ${String(number)} goes to ${candidate.address}.`);
-      const handed = tokens >> 1;
+      const handed = Math.ceil(tokens / 2);
       const kept = tokens - handed;
       const next: CallContext = {
         ...context,
