Let refused tries go elsewhere outside the daemon's retry fraction

Cause: in `surge` most of the wasted work was of requests that one upstream of the deepest service refused while another would have taken them: the retry fraction (a tenth of successes, 5/s here) was used up by such refusals. They ran nowhere, cost the refusing daemon a queue entry, and the router already skips upstreams that would refuse.

Change: the fraction counts only tries repeated after a possible dispatch. The budget of the whole chain still bounds all of them. Also, the admission level rises from smaller steps (0.0015 of its range a tick instead of 0.004, growing by 1.2 instead of 1.25).

--- a/packages/admission/src/admissionLevel.ts
+++ b/packages/admission/src/admissionLevel.ts
@@ -1,7 +1,7 @@
 /** The level from which on requests are refused. Falls with each refusal, rises by itself when there are none. */
 
-const SMALLEST_STEP = 0.004;
-const GROWTH = 1.25;
+const SMALLEST_STEP = 0.0015;
+const GROWTH = 1.2;
 const LARGEST_STEP = 0.25;
 
 /** One threshold over all classes. */
--- a/packages/calls/src/forwarder.ts
+++ b/packages/calls/src/forwarder.ts
@@ -113,8 +113,8 @@
     signal: AbortSignal,
   ): boolean {
     if (tokens < 1 || signal.aborted || !body.isReplayable || !refusal.elsewhereHelps) return false;
-    const ranNowhere = refusal.outcome === 'not-run';
-    return (ranNowhere || route.idempotent) && this.options.allowance.take();
+    if (refusal.outcome === 'not-run') return true;
+    return route.idempotent && this.options.allowance.take();
   }
 
   /** One try: gives its answer, or returns why there is none. */
