Attack the promises on real processes, and mend what broke

Cause: no test attacked the promises yet.

A daemon told to end cut off what was in flight: moleculer's own signal handler ended the process after 0.1 s. Sealing and fetching configuration from peers never worked: grpc-js refuses a missing Metadata. The fleet had its configuration only because a few daemons of each domain read the platform. Now both carry one. 3. A resend whose home was frozen hung for good: a frozen process lets TCP connections in and then says nothing, and the call has no deadline until it is connected. Now a peer gets a second to connect, and one that takes no connections fails at once; both prove that nothing was sent. 4. A seal that asked not to wait did wait.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -24,5 +24,5 @@
       '@typescript-eslint/no-non-null-assertion': 'off',
     },
   },
-  { files: ['**/*.js'], languageOptions: { globals: { process: 'readonly', console: 'readonly' } } },
+  { files: ['**/*.js', '**/*.mjs'], languageOptions: { globals: { process: 'readonly', console: 'readonly', URL: 'readonly' } } },
 );
--- a/packages/bench/src/experiments/overload.ts
+++ b/packages/bench/src/experiments/overload.ts
@@ -98,7 +98,7 @@
   const wasted = works.reduce((sum, work) => sum + work.wasted, 0);
   const useful = works.reduce((sum, work) => sum + work.useful, 0);
   const first = fleet.nodes.filter(node => node.service === serviceAt(1));
-  const ledgers = await Promise.all(first.map(node => fleet.ledger(node).catch(() => [])));
+  const ledgers = first.map(node => fleet.ledger(node));
   const shares = Object.keys(offered.byClass).map(name => {
     const due = offered.byClass[name] ?? 0;
     return [name, due === 0 ? 1 : (goodput.byClass[name] ?? 0) / due] as const;
--- a/packages/bench/src/fleet.ts
+++ b/packages/bench/src/fleet.ts
@@ -3,7 +3,10 @@
 import { ConfigurationStore } from '@cleatquay/configuration';
 import { HttpPlatform } from '@cleatquay/platform';
 import { type OperatorFile } from '@cleatquay/settings';
-import { type Effect, type PlatformFaults, type UpstreamBehaviour } from '@cleatquay/standins';
+import { type Effect, type PlatformFaults, type UpstreamBehaviour, readLedger } from '@cleatquay/standins';
+import { mkdtempSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
 import { request } from 'undici';
 import { OwnedProcess } from './childProcess.js';
 import { sharedFile } from './deployments.js';
@@ -12,6 +15,7 @@
 const UPSTREAM = sharedFile('packages/standins/dist/upstreamMain.js');
 const PLATFORM = sharedFile('packages/standins/dist/platformMain.js');
 const START_AT_ONCE = 8;
+const SEEDS = 3;
 const READY_POLL_MS = 50;
 const READY_TIMEOUT_MS = 30_000;
 
@@ -32,6 +36,15 @@
   readonly upstream: OwnedProcess;
   /** ip:port of the upstream. */
   readonly upstreamAddress: string;
+  /** Where the upstream notes what it ran. */
+  readonly ledgerPath: string;
+}
+
+/** One VM to start. */
+export interface VmSpecification {
+  readonly service: string;
+  readonly failureDomain: string;
+  readonly behaviour: Partial<UpstreamBehaviour>;
 }
 
 /** What to start. */
@@ -53,8 +66,8 @@
 /** Owns all processes of a fleet. */
 export class Fleet implements AsyncDisposable {
   readonly nodes: FleetNode[] = [];
-  private seedAddress: string | undefined;
   private started = 0;
+  private readonly ledgerFolder = mkdtempSync(join(tmpdir(), 'cleatquay-ledger-'));
 
   private constructor(
     private readonly options: FleetOptions,
@@ -87,37 +100,35 @@
   }
 
   /** Starts one more VM. */
-  async startNode(node: FleetOptions['nodes'][number]): Promise<FleetNode> {
+  async startNode(node: VmSpecification): Promise<FleetNode> {
     const { service, failureDomain, behaviour } = node;
-    const seeds = this.seedAddress === undefined ? [] : ['--seeds', this.seedAddress];
+    const name = `${this.options.seed}-${String(this.started++)}`;
+    const ledgerPath = join(this.ledgerFolder, name);
+    const daemon = await this.startDaemon(failureDomain);
+    const addresses = daemon.ready.addresses as DaemonAddresses;
+    const flags = [
+      `--service=${service}`,
+      `--file=${this.options.path}`,
+      `--callerUrl=http://${addresses.caller}`,
+      `--operatorUrl=http://${addresses.operator}`,
+      `--behaviour=${JSON.stringify(behaviour)}`,
+      `--seed=${name}`,
+      `--ledgerPath=${ledgerPath}`,
+    ];
+    const upstream = await OwnedProcess.start(UPSTREAM, flags, 'address');
+    const upstreamAddress = String(upstream.ready.address);
+    return { service, failureDomain, daemon, addresses, upstream, upstreamAddress, ledgerPath };
+  }
+
+  /** Starts a daemon that joins by a few of those that are there. */
+  private async startDaemon(failureDomain: string): Promise<OwnedProcess> {
+    const seeds = this.nodes.slice(0, SEEDS).flatMap(({ addresses }) => ['--seeds', addresses.gossip]);
     const flags = [`--platform=${this.platformUrl}`, ...seeds, ...(this.options.daemonFlags ?? [])];
-    const daemon = await OwnedProcess.start(
+    return OwnedProcess.start(
       DAEMON,
       ['--ip=127.0.0.1', `--failureDomain=${failureDomain}`, ...flags],
       'addresses',
     );
-    const addresses = daemon.ready.addresses as DaemonAddresses;
-    this.seedAddress ??= addresses.gossip;
-    const upstream = await OwnedProcess.start(
-      UPSTREAM,
-      [
-        `--service=${service}`,
-        `--file=${this.options.path}`,
-        `--callerUrl=http://${addresses.caller}`,
-        `--operatorUrl=http://${addresses.operator}`,
-        `--behaviour=${JSON.stringify(behaviour)}`,
-        `--seed=${this.options.seed}-${String(this.started++)}`,
-      ],
-      'address',
-    );
-    return {
-      service,
-      failureDomain,
-      daemon,
-      addresses,
-      upstream,
-      upstreamAddress: String(upstream.ready.address),
-    };
   }
 
   /** Waits until every daemon has a configuration and knows every upstream. */
@@ -138,8 +149,17 @@
   }
 
   /** What an upstream did, as it says itself. */
-  async ledger(node: FleetNode): Promise<Effect[]> {
-    return getJson<Effect[]>(`http://${node.upstreamAddress}/_ledger`);
+  ledger({ ledgerPath }: FleetNode): Effect[] {
+    return readLedger(ledgerPath);
+  }
+
+  /** Starts a VM in the place of another: the old one's processes are killed, its ledger stays readable. */
+  async replace(node: FleetNode, behaviour: Partial<UpstreamBehaviour>): Promise<FleetNode> {
+    await Promise.all([node.daemon[Symbol.asyncDispose](), node.upstream[Symbol.asyncDispose]()]);
+    const { service, failureDomain } = node;
+    const fresh = await this.startNode({ service, failureDomain, behaviour });
+    this.nodes.splice(this.nodes.indexOf(node), 1, fresh);
+    return fresh;
   }
 
   /** Milliseconds of useful and of wasted work of an upstream since its last reset. */
@@ -171,6 +191,7 @@
   async [Symbol.asyncDispose](): Promise<void> {
     const all = [...this.nodes.flatMap(node => [node.upstream, node.daemon]), this.platform];
     await Promise.all(all.map(process => process[Symbol.asyncDispose]()));
+    rmSync(this.ledgerFolder, { recursive: true });
   }
 
   private async isSettled({ addresses }: FleetNode): Promise<boolean> {
--- a/packages/calls/src/entry.ts
+++ b/packages/calls/src/entry.ts
@@ -11,6 +11,7 @@
 } from '@cleatquay/protocol';
 import { type Directory } from '@cleatquay/routing';
 import { type CallGraph, type Route } from '@cleatquay/settings';
+import { setMaxListeners } from 'node:events';
 import { replay } from './answers.js';
 import { type Claims } from './claims.js';
 import { type Forwarder } from './forwarder.js';
@@ -310,6 +311,7 @@
 
 /** What was started as non-idempotent runs to its end, whoever leaves. */
 const NEVER = new AbortController().signal;
+setMaxListeners(0, NEVER);
 
 function headOf({ service, method, path, headers }: CallerRequest, context: CallContext): RequestHead {
   return { context, service, method, path, headers };
--- a/packages/calls/src/peers.ts
+++ b/packages/calls/src/peers.ts
@@ -9,7 +9,14 @@
   type SealAnswer,
   type SealRequest,
 } from '@cleatquay/protocol';
-import { type ClientDuplexStream, type ServiceError, credentials, status } from '@grpc/grpc-js';
+import {
+  type ClientDuplexStream,
+  Metadata,
+  type ServiceError,
+  connectivityState,
+  credentials,
+  status,
+} from '@grpc/grpc-js';
 import { once } from 'node:events';
 import { HELD_BYTES } from './answers.js';
 import { streamParts } from './streamParts.js';
@@ -22,6 +29,8 @@
   'grpc.max_reconnect_backoff_ms': 2000,
   'grpc.max_receive_message_length': 4 * 1_048_576,
 };
+const CONNECT_TIMEOUT_MS = 1000;
+const CONFIGURATION_TIMEOUT_MS = 2000;
 const NO_CONNECTION = 'No connection established';
 const NOTHING = Buffer.alloc(0);
 
@@ -54,6 +63,7 @@
     signal: AbortSignal,
   ): AsyncGenerator<AnswerPart> {
     if (this.isCut(address)) throw new LostContact(`${address} is cut off.`, true);
+    await this.connected(address);
     const call = this.open(address);
     const cancel = () => call.cancel();
     signal.addEventListener('abort', cancel, { once: true });
@@ -81,7 +91,7 @@
     if (this.isCut(address)) throw new LostContact(`${address} is cut off.`, true);
     return new Promise((resolve, reject) => {
       const deadline = Date.now() + timeoutMs;
-      this.client(address).seal(request, undefined as never, { deadline }, (error, answer) => {
+      this.client(address).seal(request, new Metadata(), { deadline }, (error, answer) => {
         if (error) reject(asLostContact(error, address));
         else resolve(answer);
       });
@@ -95,7 +105,7 @@
       const deadline = Date.now() + CONFIGURATION_TIMEOUT_MS;
       this.client(address).fetchConfiguration(
         { generation },
-        undefined as never,
+        new Metadata(),
         { deadline },
         (error, answer) => {
           if (error) reject(asLostContact(error, address));
@@ -106,7 +116,7 @@
   }
 
   /** Addresses with a client. */
-  get connected(): string[] {
+  get addresses(): string[] {
     return [...this.clients.keys()];
   }
 
@@ -127,6 +137,25 @@
     }
   }
 
+  /**
+   * Waits for a connection, but not long: a frozen process lets connections in and then says nothing.
+   * Nothing was sent when this fails.
+   */
+  private async connected(address: string): Promise<void> {
+    const channel = this.client(address).getChannel();
+    const deadline = Date.now() + CONNECT_TIMEOUT_MS;
+    for (;;) {
+      const state = channel.getConnectivityState(true);
+      if (state === connectivityState.READY) return;
+      if (state === connectivityState.TRANSIENT_FAILURE)
+        throw new LostContact(`${address} takes no connections.`, true);
+      const changed = await new Promise(resolve => {
+        channel.watchConnectivityState(state, deadline, error => resolve(error === undefined));
+      });
+      if (!changed) throw new LostContact(`${address} lets in connections and says nothing.`, true);
+    }
+  }
+
   private client(address: string): InnerClient {
     let client = this.clients.get(address);
     if (!client) {
@@ -137,8 +166,6 @@
   }
 }
 
-const CONFIGURATION_TIMEOUT_MS = 2000;
-
 /** Sends the request; a small body goes in the first message. */
 async function send(
   call: ClientDuplexStream<RequestPart, AnswerPart>,
--- a/packages/calls/src/tryMemory.ts
+++ b/packages/calls/src/tryMemory.ts
@@ -85,7 +85,7 @@
   async seal(request: SealRequest): Promise<SealAnswer> {
     const record = this.records.get(request.requestId) ?? this.add(request.requestId, request.try, 'sealed');
     if (record.state === 'admitting' || record.state === 'refused') record.state = 'sealed';
-    if (record.state === 'dispatched') await this.waitFor(record, request.waitMs);
+    if (record.state === 'dispatched' && request.waitMs > 0) await this.waitFor(record, request.waitMs);
     return sealAnswer(record);
   }
 
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -171,7 +171,9 @@
       otherPeer: () => this.membership.randomAlive(1)[0]?.address,
       log: message => configurationLog.info(`Configuration: ${message}`),
     });
-    this.broker = new ServiceBroker({ nodeID: self, transporter: null, logger: false, metrics: false });
+    // Moleculer's own signal handlers would end the process before it has drained.
+    const quiet = { logger: false, metrics: false, skipProcessEventRegistration: true };
+    this.broker = new ServiceBroker({ nodeID: self, transporter: null, ...quiet });
     this.addGauges();
   }
 
@@ -228,7 +230,7 @@
         runningHere: this.running.size,
         rememberedIds: this.home.size,
         rememberedTries: this.tries.size,
-        peers: this.peers.connected,
+        peers: this.peers.addresses,
       },
       membership: this.membership.dump(),
       memory: process.memoryUsage(),
--- a/packages/standins/src/upstreamMain.ts
+++ b/packages/standins/src/upstreamMain.ts
@@ -12,13 +12,14 @@
     callerUrl: { type: 'string', demandOption: true },
     operatorUrl: { type: 'string', demandOption: true },
     behaviour: { type: 'string', default: '{}', describe: 'JSON, see UpstreamBehaviour' },
+    ledgerPath: { type: 'string', describe: 'file to note runs in' },
     seed: { type: 'string', default: '1' },
   })
   .strict()
   .parse();
 
-const { service, callerUrl, operatorUrl } = argv;
-const identity = { service, file: readOperatorFile(argv.file), callerUrl, operatorUrl };
+const { service, callerUrl, operatorUrl, ledgerPath } = argv;
+const identity = { service, file: readOperatorFile(argv.file), callerUrl, operatorUrl, ledgerPath };
 const behaviour = JSON.parse(argv.behaviour) as Partial<UpstreamBehaviour>;
 const upstream = new UpstreamStandin(identity, behaviour, seededRandom(argv.seed));
 const address = await upstream.listen();
--- a/packages/standins/src/upstreamStandin.ts
+++ b/packages/standins/src/upstreamStandin.ts
@@ -8,7 +8,7 @@
 import { type AddressInfo } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Pool } from 'undici';
-import { type Effect } from './ledger.js';
+import { Ledger } from './ledger.js';
 import { Slots } from './slots.js';
 
 const ANNOUNCE_EVERY_MS = 1000;
@@ -23,6 +23,8 @@
   readonly callerUrl: string;
   /** URL of its daemon for operators and announcements. */
   readonly operatorUrl: string;
+  /** Where it notes what it ran; nowhere unless given. */
+  readonly ledgerPath?: string | undefined;
 }
 
 /** How it behaves; may be changed while it runs. */
@@ -54,10 +56,21 @@
   claimedSlots: 0,
 };
 
+/** One request being run. */
+interface Job {
+  readonly route: Route;
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly token: string;
+  readonly requestId: string;
+  /** Aborts when nobody waits for the answer any more. */
+  readonly gone: AbortSignal;
+}
+
 /** A running stand-in upstream. */
 export class UpstreamStandin implements AsyncDisposable {
   readonly behaviour: UpstreamBehaviour;
-  readonly ledger: Effect[] = [];
+  private readonly ledger: Ledger;
   private readonly graph: CallGraph;
   private readonly server: Server;
   private readonly children: Pool;
@@ -72,6 +85,7 @@
     private readonly random: Random,
   ) {
     this.behaviour = { ...DEFAULTS, ...behaviour };
+    this.ledger = new Ledger(identity.ledgerPath);
     this.graph = new CallGraph(identity.file);
     this.children = new Pool(identity.callerUrl, {
       connections: CHILD_CONNECTIONS,
@@ -130,44 +144,29 @@
     response.on('close', () => gone.abort());
     if (!(await this.slots.take(gone.signal))) return;
     const token = headerOf(request, 'x-token');
-    const effect: Effect = {
-      token,
-      route: route.name,
-      requestId: headerOf(request, 'cleatquay-request-id'),
-      done: false,
-    };
-    this.ledger.push(effect);
+    const requestId = headerOf(request, 'cleatquay-request-id');
+    const job: Job = { route, request, response, token, requestId, gone: gone.signal };
     try {
-      await this.run(route, request, response, effect, gone.signal);
+      await this.run(job);
     } finally {
       this.slots.give();
     }
   }
 
-  private async run(
-    route: Route,
-    request: IncomingMessage,
-    response: ServerResponse,
-    effect: Effect,
-    gone: AbortSignal,
-  ): Promise<void> {
+  private async run({ route, request, response, token, requestId, gone }: Job): Promise<void> {
+    const done = this.ledger.started({ token, route: route.name, requestId });
     const received = await lengthOf(request);
     const ms = this.serviceTime();
     await sleep(ms, undefined, { signal: gone }).catch(() => undefined);
     if (gone.aborted) return this.count(ms, false);
-    const children = await this.callChildren(route, request, effect, gone);
+    const children = await this.callChildren({ route, request, response, token, requestId, gone });
+    const isWhole = children.every(child => child !== undefined);
     if (gone.aborted) return this.count(ms, false);
-    effect.done = children.every(child => child !== undefined);
-    this.count(ms, effect.done);
-    if (!effect.done) return end(response, 502, { error: 'a deeper call failed', token: effect.token });
+    this.count(ms, isWhole);
+    if (!isWhole) return end(response, 502, { error: 'a deeper call failed', token });
+    done();
     const size = Number(new URL(request.url ?? '/', 'http://u').searchParams.get('size') ?? 0);
-    end(response, 200, {
-      token: effect.token,
-      route: route.name,
-      received,
-      children,
-      filler: 'x'.repeat(size),
-    });
+    end(response, 200, { token, route: route.name, received, children, filler: 'x'.repeat(size) });
   }
 
   private count(ms: number, useful: boolean): void {
@@ -182,12 +181,11 @@
     return -Math.log(1 - this.random()) * serviceMs * slowFactor * cold;
   }
 
-  private async callChildren(route: Route, request: IncomingMessage, effect: Effect, gone: AbortSignal) {
+  private async callChildren(job: Job): Promise<unknown[]> {
     const answers: unknown[] = [];
-    for (const [index, name] of route.calls.entries()) {
+    for (const [index, name] of job.route.calls.entries()) {
       const child = this.graph.get(name);
-      if (!child) continue;
-      const answer = await this.callChild(child, `${String(index)}`, request, effect, gone);
+      const answer = child && (await this.callChild(child, String(index), job));
       answers.push(answer);
       if (answer === undefined) break;
     }
@@ -195,35 +193,23 @@
   }
 
   /** One deeper call through this upstream's own daemon; undefined when it failed. */
-  private async callChild(
-    child: Route,
-    key: string,
-    request: IncomingMessage,
-    effect: Effect,
-    gone: AbortSignal,
-  ) {
-    const path = `/${child.service}${child.path.replaceAll(/:\w+/g, '1')}`;
+  private async callChild(child: Route, key: string, { token, requestId, gone }: Job): Promise<unknown> {
     try {
       const answer = await this.children.request({
         method: child.method as 'GET',
-        path,
+        path: `/${child.service}${child.path.replaceAll(/:\w+/g, '1')}`,
         signal: gone,
-        headers: {
-          'x-token': effect.token,
-          'cleatquay-parent': headerOf(request, 'cleatquay-request-id'),
-          'cleatquay-call-key': key,
-        },
+        headers: { 'x-token': token, 'cleatquay-parent': requestId, 'cleatquay-call-key': key },
         body: child.method === 'GET' ? null : '{}',
       });
       const body = (await answer.body.json()) as { token?: string };
-      return answer.statusCode === 200 && body.token === effect.token ? body : undefined;
+      return answer.statusCode === 200 && body.token === token ? body : undefined;
     } catch {
       return undefined;
     }
   }
 
   private async control(path: string, request: IncomingMessage, response: ServerResponse): Promise<void> {
-    if (path === '/_ledger') return end(response, 200, this.ledger);
     if (path === '/_work') return end(response, 200, { ...this.work, waiting: this.slots.waiting });
     const chunks: Buffer[] = [];
     for await (const chunk of request) chunks.push(chunk as Buffer);
--- /dev/null
+++ b/tests/admission.spec.ts
@@ -0,0 +1,128 @@
+import { Admission, type Permit, levelOf } from '@cleatquay/admission';
+import { ManualClock } from '@cleatquay/clock';
+import { type Refusal } from '@cleatquay/protocol';
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { setMaxListeners } from 'node:events';
+
+const NEVER = new AbortController().signal;
+setMaxListeners(0, NEVER);
+const CLASSES = 3;
+const FAR_MS = 60_000;
+
+function admission(clock: ManualClock, slots: number): Admission {
+  return new Admission({ clock, random: () => 0.5, classes: CLASSES, slots, maxQueueMs: 50, cold: false });
+}
+
+const settle = () => new Promise(resolve => setImmediate(resolve));
+
+interface Asked {
+  readonly level: number;
+  state: 'waiting' | 'running' | 'refused';
+  permit?: Permit;
+}
+
+describe('admission', () => {
+  describe('the order of refusal', () => {
+    it('never refuses a request while a less important one keeps waiting', async () => {
+      const step = fc.oneof(
+        fc.record({
+          kind: fc.constant('ask' as const),
+          level: fc.double({ min: 0, max: CLASSES, maxExcluded: true, noNaN: true }),
+        }),
+        fc.record({ kind: fc.constant('release' as const), which: fc.nat(50) }),
+        fc.record({ kind: fc.constant('wait' as const), ms: fc.integer({ min: 1, max: 80 }) }),
+      );
+      await fc.assert(
+        fc.asyncProperty(
+          fc.integer({ min: 1, max: 6 }),
+          fc.array(step, { maxLength: 80 }),
+          async (slots, steps) => {
+            const clock = new ManualClock();
+            using gate = admission(clock, slots);
+            const all: Asked[] = [];
+            const refusedNow: Asked[] = [];
+            const note = (asked: Asked) => (result: Permit | Refusal) => {
+              asked.state = 'release' in result ? 'running' : 'refused';
+              if ('release' in result) asked.permit = result;
+              else refusedNow.push(asked);
+            };
+            for (const s of steps) {
+              if (s.kind === 'ask') {
+                const asked: Asked = { level: s.level, state: 'waiting' };
+                all.push(asked);
+                void gate.request(s.level, FAR_MS, NEVER).then(note(asked));
+              } else if (s.kind === 'wait') clock.advance(s.ms);
+              else {
+                const running = all.filter(a => a.state === 'running');
+                const released = running[s.which % Math.max(1, running.length)];
+                if (released) {
+                  released.state = 'refused';
+                  released.permit?.release('answered');
+                }
+              }
+              await settle();
+              const waiting = all.filter(a => a.state === 'waiting');
+              expect(all.filter(a => a.state === 'running').length).to.be.at.most(slots);
+              if (s.kind === 'ask') {
+                const overtaken = refusedNow.some(refused => waiting.some(w => w.level > refused.level));
+                expect(overtaken, 'a less important request kept its place').to.equal(false);
+              }
+              refusedNow.length = 0;
+            }
+          },
+        ),
+        { numRuns: 150 },
+      );
+    });
+
+    it('is the same at every hop, since it comes from the request at the top', () => {
+      fc.assert(
+        fc.property(fc.string(), fc.nat(5), (rootId, rank) => {
+          const level = levelOf(rank, rootId);
+          expect(level).to.equal(levelOf(rank, rootId));
+          expect(level)
+            .to.be.at.least(rank)
+            .and.below(rank + 1);
+        }),
+      );
+    });
+  });
+
+  describe('the level', () => {
+    it('opens again by itself within two seconds after the last refusal', async () => {
+      const clock = new ManualClock();
+      using gate = admission(clock, 1);
+      const permit = (await gate.request(0.5, FAR_MS, NEVER)) as Permit;
+      const refusals = Array.from({ length: 40 }, (_, i) => gate.request(0.1 + i / 20, FAR_MS, NEVER));
+      clock.advance(600);
+      permit.release('answered');
+      expect(gate.load().admissionLevel).to.be.below(CLASSES);
+      clock.advance(2000);
+      await Promise.race([...refusals, settle()]);
+      expect(gate.load().admissionLevel).to.equal(CLASSES);
+    });
+  });
+
+  describe('the limit', () => {
+    it('stays between 1 and the announced slots, whatever the upstream sheds or answers', () => {
+      fc.assert(
+        fc.property(
+          fc.integer({ min: 1, max: 500 }),
+          fc.array(fc.boolean(), { maxLength: 500 }),
+          (slots, sheds) => {
+            const clock = new ManualClock();
+            using gate = admission(clock, slots);
+            for (const shed of sheds) {
+              clock.advance(60);
+              if (shed) gate.limit.shed();
+              else gate.limit.answered();
+              expect(gate.limit.value).to.be.at.least(1).and.at.most(slots);
+            }
+          },
+        ),
+        { numRuns: 50 },
+      );
+    });
+  });
+});
--- /dev/null
+++ b/tests/retryBudget.spec.ts
@@ -0,0 +1,158 @@
+import {
+  Forwarder,
+  Journal,
+  type Peers,
+  ReplayBody,
+  RetryAllowance,
+  RunningCall,
+  LostContact,
+  emptyBody,
+} from '@cleatquay/calls';
+import { ManualClock, seededRandom } from '@cleatquay/clock';
+import { type AnswerPart, type CallContext, type RequestHead, endOf, refusalOf } from '@cleatquay/protocol';
+import { Directory, Router } from '@cleatquay/routing';
+import { type Route } from '@cleatquay/settings';
+import { expect } from 'chai';
+import fc from 'fast-check';
+
+const NEVER = new AbortController().signal;
+const UPSTREAMS = 4;
+
+/** What the upstream of a try does: answers after calling deeper, refuses, breaks, or loses contact. */
+type Fate = 'answer' | 'refuse' | 'break' | 'lose' | 'lose-after-work';
+
+/** A chain of forwarders in one process, counting every try of every call. */
+class Chain {
+  tries = 0;
+  calls = 0;
+  private readonly clock = new ManualClock();
+  private readonly router: Router;
+  private next = 0;
+
+  constructor(
+    private readonly depth: number,
+    private readonly fanOut: number,
+    private readonly fates: readonly Fate[],
+  ) {
+    const directory = new Directory();
+    for (let i = 0; i < UPSTREAMS; i++) directory.update(member(i));
+    const random = seededRandom('chain');
+    this.router = new Router({ clock: this.clock, random, directory, self: 'none', failureDomain: 'a' });
+  }
+
+  async run(budget: number): Promise<AnswerPart | undefined> {
+    return this.call({ ...CONTEXT, retryTokens: budget });
+  }
+
+  private async call(context: CallContext): Promise<AnswerPart | undefined> {
+    this.calls++;
+    const exchange = (_address: string, head: RequestHead) => this.serve(head.context!);
+    const forwarder = new Forwarder({
+      clock: this.clock,
+      random: () => 0.5,
+      router: this.router,
+      peers: { exchange } as unknown as Peers,
+      allowance: new RetryAllowance(),
+      journal: new Journal(this.clock),
+      self: 'none',
+      local: exchange as never,
+    });
+    const body = new ReplayBody(emptyBody());
+    let last: AnswerPart | undefined;
+    for await (const part of forwarder.forward(ROUTE, { ...HEAD, context }, context, body, NEVER))
+      last = part;
+    return last;
+  }
+
+  private async *serve(context: CallContext): AsyncGenerator<AnswerPart> {
+    this.tries++;
+    const fate = this.fates[this.next++ % this.fates.length];
+    if (fate === 'refuse')
+      return yield endOf(refusalOf('overloaded', '', { elsewhereHelps: true }), context.retryTokens);
+    if (fate === 'lose') throw new LostContact('gone', false);
+    const running = new RunningCall(context, ROUTE, 1e9, NEVER);
+    for (let i = 0; i < this.fanOut && context.depth < this.depth; i++) {
+      const child = await this.call({
+        ...CONTEXT,
+        depth: context.depth + 1,
+        retryTokens: running.takeTokens(),
+      });
+      running.returnTokens(child?.unusedRetryTokens ?? 0);
+    }
+    if (fate === 'lose-after-work') throw new LostContact('gone', false);
+    if (fate === 'break') {
+      return yield endOf(refusalOf('upstreamBroke', '', { elsewhereHelps: true }), running.retryTokens);
+    }
+    const head = { status: 200, headers: [] };
+    const end = { length: 0, crc32: 0 };
+    yield {
+      head,
+      body: Buffer.alloc(0),
+      end,
+      refusal: undefined,
+      load: undefined,
+      unusedRetryTokens: running.retryTokens,
+    };
+  }
+}
+
+const CONTEXT: CallContext = {
+  requestId: 'r',
+  try: 1,
+  rootId: 'r',
+  class: 0,
+  remainingMs: 1000,
+  retryTokens: 0,
+  depth: 1,
+  targetEpoch: 0,
+  toHome: false,
+  generation: 1,
+};
+const HEAD: RequestHead = { context: CONTEXT, service: 's', method: 'GET', path: '/', headers: [] };
+const ROUTE: Route = {
+  name: 's.run',
+  service: 's',
+  method: 'GET',
+  path: '/',
+  class: 'a',
+  idempotent: true,
+  timeoutMs: 1000,
+  calls: [],
+  rank: 0,
+  matches: () => true,
+};
+
+function member(i: number) {
+  const address = `127.0.0.${String(i + 1)}:1`;
+  const upstreams = [{ service: 's', address, slots: 10, connections: 10, draining: false }];
+  const place = { address, gossipAddress: address, operatorAddress: address, failureDomain: 'a' };
+  return { ...place, epoch: 1, incarnation: 1, state: 'ALIVE' as const, upstreams };
+}
+
+describe('the retry budget', () => {
+  it('bounds the tries of one client request over the whole chain, for any depth, fan-out and failures', async () => {
+    const fate = fc.constantFrom<Fate>('answer', 'refuse', 'break', 'lose', 'lose-after-work');
+    await fc.assert(
+      fc.asyncProperty(
+        fc.integer({ min: 1, max: 7 }),
+        fc.integer({ min: 1, max: 3 }),
+        fc.integer({ min: 0, max: 8 }),
+        fc.array(fate, { minLength: 1, maxLength: 40 }),
+        async (depth, fanOut, budget, fates) => {
+          const chain = new Chain(depth, depth > 4 ? 1 : fanOut, fates);
+          const last = await chain.run(budget);
+          expect(chain.tries - chain.calls, 'tries beyond the first of each call').to.be.at.most(budget);
+          expect(last?.unusedRetryTokens, 'tokens left').to.be.at.most(budget - (chain.tries - chain.calls));
+        },
+      ),
+      { numRuns: 300 },
+    );
+  });
+
+  it('is there to be used: a call refused by one upstream is answered by another', async () => {
+    const chain = new Chain(3, 1, ['answer', 'refuse', 'answer', 'answer']);
+    const last = await chain.run(3);
+    expect(last?.end).to.not.equal(undefined);
+    expect(chain.tries).to.equal(4);
+  });
+});
--- /dev/null
+++ b/tests/settings.spec.ts
@@ -0,0 +1,98 @@
+import { Failure, resultCodes } from '@cleatquay/errors';
+import { fileOf, deployments, sharedFile } from '@cleatquay/bench';
+import {
+  type OperatorFile,
+  OperatorFileSchema,
+  ProcessSettingsSchema,
+  checkOperatorFile,
+  loadProcessSettings,
+} from '@cleatquay/settings';
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { readFileSync } from 'node:fs';
+
+function failureOf(action: () => unknown): Failure {
+  try {
+    action();
+  } catch (error) {
+    if (error instanceof Failure) return error as Failure;
+    throw error;
+  }
+  throw new Error('It was accepted.');
+}
+
+const changed = (change: (file: OperatorFile) => void) => {
+  const file = structuredClone(fileOf(deployments.frostline!));
+  change(file);
+  return failureOf(() => checkOperatorFile(file));
+};
+
+describe('settings', () => {
+  describe('of a process', () => {
+    it('name the field that is missing', () => {
+      const failure = failureOf(() => loadProcessSettings(undefined, { ip: '127.0.0.1' }));
+      expect([failure.result, failure.field]).to.deep.equal(['settingsInvalid', 'failureDomain']);
+    });
+
+    it('name the nearest known field for one that is not known', () => {
+      const failure = failureOf(() =>
+        loadProcessSettings(undefined, { ip: '127.0.0.1', failureDomian: 'a' }),
+      );
+      expect(failure.field).to.equal('failureDomian');
+      expect(failure.message).to.contain('"failureDomain"');
+    });
+
+    it('say what was expected and what was found', () => {
+      const failure = failureOf(() =>
+        loadProcessSettings(undefined, { ip: '127.0.0.1', failureDomain: 'a', drainMs: 'long' }),
+      );
+      expect(failure.describe()).to.contain('CQ1001 drainMs: Expected').and.to.contain('found "long"');
+    });
+  });
+
+  describe('of operators', () => {
+    it('are refused for a cycle in who calls whom', () => {
+      const failure = changed(file => file.services.alarms!.routes.list!.calls.push('history.read'));
+      expect([failure.result, failure.row.code]).to.deep.equal(['callCycle', 1004]);
+    });
+
+    it('are refused for an idempotent route that reaches one that is not', () => {
+      const failure = changed(file => (file.services.alarms!.routes.list!.idempotent = false));
+      expect(failure.result).to.equal('idempotenceBroken');
+      expect(failure.message).to.contain('→ alarms.list');
+    });
+
+    it('are refused for a class or a call that is not declared', () => {
+      expect(changed(file => (file.services.alarms!.routes.list!.class = 'x')).field).to.contain(
+        'routes.list.class',
+      );
+      expect(changed(file => file.services.alarms!.routes.list!.calls.push('no.where')).message).to.contain(
+        'no.where',
+      );
+    });
+
+    it('never crash the check, whatever they hold', () => {
+      fc.assert(
+        fc.property(fc.jsonValue(), value => {
+          expect(failureOf(() => checkOperatorFile(value)).result).to.equal('configurationInvalid');
+        }),
+      );
+    });
+  });
+
+  describe('published pages', () => {
+    it('hold the schemas that the code checks by', () => {
+      const published = (name: string) =>
+        JSON.parse(readFileSync(sharedFile(`schemas/${name}.json`), 'utf8')) as unknown;
+      expect(published('operator-file')).to.deep.equal(JSON.parse(JSON.stringify(OperatorFileSchema)));
+      expect(published('process-settings')).to.deep.equal(JSON.parse(JSON.stringify(ProcessSettingsSchema)));
+    });
+
+    it('list every result code with its number and outcome', () => {
+      const page = readFileSync(sharedFile('docs/RESULT-CODES.md'), 'utf8');
+      for (const [name, { code, status, outcome }] of Object.entries(resultCodes)) {
+        expect(page).to.contain(`| ${String(code)} | ${name} | ${String(status)} | ${outcome} |`);
+      }
+    });
+  });
+});
