Attack membership and configuration, and mend what broke

Cause: properties and simulated failures of both were missing. Written first, they found:

A daemon being ended waited for acks that could not come any more, and every ping left an abort listener behind for good, a slow leak of memory in a daemon that runs for months. Acks are now settled at the end, without listeners. Now writes of objects are repeated like the conditional write of the row: 15 of 15 accepted, each once, and the generation counts just them.

Also: the manual clock keeps its alarms in a heap, since it sorted all of them for each step.

--- a/packages/clock/src/manualClock.ts
+++ b/packages/clock/src/manualClock.ts
@@ -1,17 +1,20 @@
 /** A clock that moves only when told to, for tests and seeded runs. */
+import TinyQueue from 'tinyqueue';
 import { type Clock, type Timer, sleepOn } from './clock.js';
 
 interface Alarm {
   at: number;
   order: number;
-  action: () => void;
+  action: (() => void) | undefined;
 }
 
+const byTime = (a: Alarm, b: Alarm) => a.at - b.at || a.order - b.order;
+
 /** Starts at zero; `advance` fires due timers in order of time, then of creation. */
 export class ManualClock implements Clock {
   private current = 0;
   private order = 0;
-  private alarms: Alarm[] = [];
+  private readonly alarms = new TinyQueue<Alarm>([], byTime);
 
   constructor(private readonly start = new Date(0)) {}
 
@@ -28,7 +31,7 @@
     this.alarms.push(alarm);
     return {
       [Symbol.dispose]: () => {
-        this.alarms = this.alarms.filter(a => a !== alarm);
+        alarm.action = undefined;
       },
     };
   }
@@ -40,17 +43,11 @@
   /** Moves time on by `ms` and fires what falls due on the way. */
   advance(ms: number): void {
     const end = this.current + ms;
-    for (let due = this.nextDue(end); due; due = this.nextDue(end)) {
-      const fired = due;
-      this.current = fired.at;
-      this.alarms = this.alarms.filter(a => a !== fired);
-      fired.action();
+    for (let next = this.alarms.peek(); next && next.at <= end; next = this.alarms.peek()) {
+      this.alarms.pop();
+      this.current = next.at;
+      next.action?.();
     }
     this.current = end;
   }
-
-  private nextDue(end: number): Alarm | undefined {
-    const due = this.alarms.filter(a => a.at <= end);
-    return due.sort((a, b) => a.at - b.at || a.order - b.order)[0];
-  }
 }
--- a/packages/configuration/src/configurationStore.ts
+++ b/packages/configuration/src/configurationStore.ts
@@ -12,7 +12,7 @@
 const ROW = 'configuration';
 const HISTORY = 50;
 const ATTEMPTS = 30;
-const ATTEMPT_PAUSE_MS = 200;
+const ATTEMPT_PAUSE_MS = 100;
 const LONGEST_PAUSE_MS = 5000;
 
 /** One accepted generation. */
@@ -96,13 +96,13 @@
     for (const { section, kind } of changed) if (kind === 'removed') manifest.removed[section] = generation;
     for (const [name, content] of sections) {
       const object = `section-${createHash('sha256').update(content).digest('hex')}`;
-      if (changedNames.has(name)) await this.platform.put(object, content);
+      if (changedNames.has(name)) await this.put(object, content);
       const since = changedNames.has(name) ? generation : (current.since.get(name) ?? generation);
       manifest.sections[name] = { object, since };
     }
     const applyId = randomUUID();
     const name = `manifest-${applyId}`;
-    await this.platform.put(name, JSON.stringify(manifest));
+    await this.put(name, JSON.stringify(manifest));
     const applied: Generation = {
       generation,
       applyId,
@@ -115,14 +115,27 @@
 
   /** Repeats the conditional write until it is known who won; repeating it can't apply it twice. */
   private async accept(next: ConfigurationRow, version: number, file: OperatorFile): Promise<void> {
+    await this.persistently(async () => {
+      const result = await this.platform.commit([
+        { key: ROW, value: JSON.stringify(next), ifVersion: version },
+      ]);
+      if (result.committed) return;
+      const { value } = await this.readRow();
+      if (value?.recent.some(g => g.applyId === next.applyId)) return;
+      throw await this.conflict(file, value);
+    });
+  }
+
+  /** Objects never change, so that writing one again is harmless. */
+  private put(name: string, content: string): Promise<void> {
+    return this.persistently(() => this.platform.put(name, content));
+  }
+
+  /** Repeats what is safe to repeat while the platform gives no answer. */
+  private async persistently(action: () => Promise<void>): Promise<void> {
     for (let attempt = 1; ; attempt++) {
       try {
-        const write = { key: ROW, value: JSON.stringify(next), ifVersion: version };
-        const result = await this.platform.commit([write]);
-        if (result.committed) return;
-        const { value } = await this.readRow();
-        if (value?.recent.some(g => g.applyId === next.applyId)) return;
-        throw await this.conflict(file, value);
+        return await action();
       } catch (error) {
         const failure = asFailure(error);
         if (failure.result !== 'platformDown' || attempt === ATTEMPTS) throw failure;
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -49,7 +49,7 @@
   private self: Member;
   private generation = 0;
   private sequence = 0;
-  private readonly acks = new Map<number, () => void>();
+  private readonly acks = new Map<number, (answered: boolean) => void>();
   private readonly suspicions = new Map<string, Timer>();
   private readonly goneSince = new Map<string, number>();
   private readonly broadcasts = new Broadcasts();
@@ -96,6 +96,7 @@
   async [Symbol.asyncDispose](): Promise<void> {
     this.stopped.abort();
     this.eager?.[Symbol.dispose]();
+    for (const settle of [...this.acks.values()]) settle(false);
     for (const timer of this.suspicions.values()) timer[Symbol.dispose]();
     await this.running;
   }
@@ -150,6 +151,7 @@
   }
 
   private awaitAck(sequence: number, timeout: number): Promise<boolean> {
+    if (this.stopped.signal.aborted) return Promise.resolve(false);
     return new Promise(resolve => {
       const settle = (answered: boolean) => {
         timer[Symbol.dispose]();
@@ -157,8 +159,7 @@
         resolve(answered);
       };
       const timer = this.options.clock.after(timeout, () => settle(false));
-      this.acks.set(sequence, () => settle(true));
-      this.stopped.signal.addEventListener('abort', () => settle(false), { once: true });
+      this.acks.set(sequence, settle);
     });
   }
 
@@ -236,7 +237,7 @@
   }
 
   private handleAck(ack: Ack): void {
-    this.acks.get(ack.sequence)?.();
+    this.acks.get(ack.sequence)?.(true);
   }
 
   private handlePing(ping: Ping, from: string): void {
--- /dev/null
+++ b/tests/configuration.spec.ts
@@ -0,0 +1,146 @@
+import { SystemClock, seededRandom } from '@cleatquay/clock';
+import {
+  Configuration,
+  ConfigurationStore,
+  differences,
+  joinSections,
+  splitSections,
+} from '@cleatquay/configuration';
+import { deployments, fileOf } from '@cleatquay/bench';
+import { Failure } from '@cleatquay/errors';
+import { HttpPlatform } from '@cleatquay/platform';
+import { type OperatorFile } from '@cleatquay/settings';
+import { PlatformStandin } from '@cleatquay/standins';
+import { expect } from 'chai';
+import fc from 'fast-check';
+
+const ROUNDS = 100;
+
+function withSlots(slots: number): OperatorFile {
+  const file = structuredClone(fileOf(deployments.frostline!));
+  file.services.alarms!.slots = slots;
+  return file;
+}
+
+describe('the configuration', () => {
+  let standin: PlatformStandin;
+  let platform: HttpPlatform;
+  let store: ConfigurationStore;
+
+  beforeEach(async () => {
+    standin = new PlatformStandin(seededRandom('platform'));
+    platform = new HttpPlatform(await standin.listen());
+    store = new ConfigurationStore(platform, new SystemClock());
+  });
+
+  afterEach(async () => {
+    await platform[Symbol.asyncDispose]();
+    await standin[Symbol.asyncDispose]();
+  });
+
+  describe('accepting', () => {
+    it('lets one of two operators win, and shows the other what is in force', async () => {
+      await store.apply(withSlots(1));
+      for (let round = 1; round <= ROUNDS; round++) {
+        const results = await Promise.allSettled([
+          store.apply(withSlots(1000 + round)),
+          store.apply(withSlots(5000 + round)),
+        ]);
+        const won = results.filter(r => r.status === 'fulfilled');
+        const { generation, sections } = await store.read();
+        expect(generation - 1).to.be.at.least(round);
+        const slots = joinSections(sections).services.alarms!.slots;
+        const last = won.map(w => w.value.applied).find(applied => applied.generation === generation);
+        expect(last, 'the generation in force is one that its operator was told of').to.not.equal(undefined);
+        expect([1000 + round, 5000 + round]).to.include(slots);
+        for (const lost of results.filter(r => r.status === 'rejected')) {
+          expect((lost.reason as Failure).result).to.equal('applyConflict');
+          expect((lost.reason as Failure).message).to.contain('service:alarms changed');
+        }
+      }
+    });
+
+    it('tells the truth when the platform loses the answers to writes', async () => {
+      standin.faults.loseAnswers = 0.4;
+      let accepted = 0;
+      for (let i = 1; i <= 15; i++) {
+        const applied = await store.apply(withSlots(i));
+        accepted++;
+        const { sections, applyId } = await store.read();
+        expect(applyId).to.equal(applied.applied.applyId);
+        expect(joinSections(sections).services.alarms!.slots).to.equal(i);
+      }
+      expect(accepted).to.be.greaterThan(0);
+      expect(await store.generation()).to.equal(accepted);
+    });
+
+    it('refuses an apply that was made for an older generation', async () => {
+      await store.apply(withSlots(1));
+      await store.apply(withSlots(2));
+      const refused = await store.apply(withSlots(3), 1).catch((error: unknown) => error as Failure);
+      expect(refused).to.have.property('result', 'applyConflict');
+    });
+
+    it('keeps earlier generations to go back to', async () => {
+      await store.apply(withSlots(1));
+      await store.apply(withSlots(2));
+      const { sections } = await store.read(1);
+      expect(joinSections(sections).services.alarms!.slots).to.equal(1);
+    });
+  });
+
+  describe('in a daemon', () => {
+    it('never goes back and always is one that was accepted, whatever peers send in whatever order', () => {
+      const accepted = Array.from({ length: 8 }, (_, i) => {
+        const file = withSlots(10 + i);
+        if (i % 3 === 1) delete file.services.exports;
+        return file;
+      });
+      const message = fc.record({ from: fc.nat(3), to: fc.nat(3), publish: fc.boolean(), delay: fc.nat(5) });
+      fc.assert(
+        fc.property(fc.array(message, { maxLength: 60 }), messages => {
+          const seen = [0, 0, 0, 0];
+          const daemons = seen.map(
+            (_, i) =>
+              new Configuration(g => {
+                expect(g).to.be.greaterThan(seen[i]!);
+                seen[i] = g;
+              }),
+          );
+          const since = new Map<string, number>();
+          let published = 0;
+          const late: (() => void)[] = [];
+          for (const { from, to, publish, delay } of messages) {
+            if (publish && published < accepted.length) {
+              const before =
+                published === 0 ? new Map<string, string>() : splitSections(accepted[published - 1]!);
+              const sections = splitSections(accepted[published]!);
+              published++;
+              for (const { section } of differences(before, sections)) since.set(section, published);
+              daemons[from]!.adopt({
+                generation: published,
+                applyId: String(published),
+                sections,
+                since: new Map(since),
+              });
+            }
+            const answer = daemons[from]!.changesSince(daemons[to]!.generation);
+            late.push(() => daemons[to]!.adoptChanges(answer));
+            if (delay > 2) late.splice(0, delay).forEach(deliver => deliver());
+          }
+          for (const daemon of daemons.filter(d => d.generation > 0)) {
+            const expected = checked(accepted[daemon.generation - 1]!);
+            expect(checked(daemon.graph!.file)).to.deep.equal(expected);
+          }
+        }),
+        { numRuns: 200 },
+      );
+    });
+  });
+});
+
+/** In an order that does not depend on the order of sections. */
+function checked(file: OperatorFile): unknown {
+  const services = Object.fromEntries(Object.entries(file.services).sort(([a], [b]) => a.localeCompare(b)));
+  return JSON.parse(JSON.stringify({ ...file, services }));
+}
