--- a/packages/admission/src/admission.ts
+++ b/packages/admission/src/admission.ts
@@ -7,6 +7,8 @@
 const TICK_MS = 25;
 const SMALLEST_QUEUE = 2;
 const TOP_PATIENCE = 4;
+const BURST_MS = 250;
+const BURST_PATIENCE = 4;
 const FIRST_GUESS_MS = 20;
 const LATENCY_WEIGHT = 0.05;
 const SHORTEST_RETRY_AFTER_MS = 500;
@@ -48,6 +50,7 @@
   readonly counts = { admitted: 0, refused: 0, expired: 0 };
   private readonly level: AdmissionLevel;
   private readonly queue: Waiter[] = [];
+  private lastEmptyAt = Number.NEGATIVE_INFINITY;
   private inFlight = 0;
   private latencyMs = FIRST_GUESS_MS;
   private refusedInTick = false;
@@ -128,6 +131,7 @@
     const waiter: Waiter = { level, since: now, latestStart: now + remainingMs - this.latencyMs / 2, settle };
     const leave = () => this.drop(waiter);
     signal.addEventListener('abort', leave, { once: true });
+    if (this.queue.length === 0) this.lastEmptyAt = now;
     this.insert(waiter);
     this.evictIfFull();
   }
@@ -144,10 +148,9 @@
     this.queue.splice(low, 0, waiter);
   }
 
-  /** As many as the upstream gets through within the longest standing delay. */
+  /** As many as the upstream gets through within the longest delay. */
   private capacity(): number {
-    const { maxQueueMs } = this.options;
-    return Math.max(SMALLEST_QUEUE, Math.floor((this.limit.value * maxQueueMs) / this.latencyMs));
+    return Math.max(SMALLEST_QUEUE, Math.floor((this.limit.value * this.patienceMs()) / this.latencyMs));
   }
 
   /** The top class may wait longer: behind work that is never interrupted, its own short bursts overflow a short queue. */
@@ -158,6 +161,16 @@
     if (worst) this.refuse(worst);
   }
 
+  /**
+   * The longest delay, ms; longer for a burst, which is a queue that was empty a moment ago.
+   * After CoDel (Nichols, Jacobson, Controlling Queue Delay, ACM Queue 2012).
+   */
+  private patienceMs(): number {
+    const { clock, maxQueueMs } = this.options;
+    const isBurst = clock.now() - this.lastEmptyAt < BURST_MS;
+    return isBurst ? maxQueueMs * BURST_PATIENCE : maxQueueMs;
+  }
+
   private topCount(): number {
     const first = this.queue.findIndex(waiter => waiter.level >= 1);
     return first < 0 ? this.queue.length : first;
@@ -200,9 +213,10 @@
   }
 
   private tick(): void {
-    const { clock, maxQueueMs } = this.options;
+    const { clock } = this.options;
     const now = clock.now();
-    const isOld = ({ level, since }: Waiter) => now - since > 2 * maxQueueMs * (level < 1 ? TOP_PATIENCE : 1);
+    const oldestMs = 2 * this.patienceMs();
+    const isOld = ({ level, since }: Waiter) => now - since > oldestMs * (level < 1 ? TOP_PATIENCE : 1);
     for (const waiter of this.queue.filter(isOld)) {
       this.queue.splice(this.queue.indexOf(waiter), 1);
       this.refuse(waiter);
--- a/packages/bench/src/childProcess.ts
+++ b/packages/bench/src/childProcess.ts
@@ -4,6 +4,12 @@
 
 const START_TIMEOUT_MS = 30_000;
 const HEAP_MB = 512;
+const EXIT_SIGNAL = 143;
+
+/** Those that run; none of them outlives this process, however it ends. */
+const running = new Set<ChildProcess>();
+process.once('exit', () => running.forEach(child => child.kill('SIGKILL')));
+for (const signal of ['SIGTERM', 'SIGHUP'] as const) process.once(signal, () => process.exit(EXIT_SIGNAL));
 
 /** Owns one process; disposing kills it. */
 export class OwnedProcess implements AsyncDisposable {
@@ -20,7 +26,11 @@
     const options = [`--max-old-space-size=${String(HEAP_MB)}`, script, ...args];
     const child = spawn(process.execPath, options, { stdio: ['ignore', 'pipe', 'pipe'] });
     const exited = new Promise<number | string>(resolve => {
-      child.once('exit', (code, signal) => resolve(code ?? signal ?? 'unknown'));
+      running.add(child);
+      child.once('exit', (code, signal) => {
+        running.delete(child);
+        resolve(code ?? signal ?? 'unknown');
+      });
     });
     let errors = '';
     child.stderr.on('data', (chunk: Buffer) => {
--- /dev/null
+++ b/packages/bench/src/experiments/capacity.ts
@@ -0,0 +1,234 @@
+/** Measures the slopes of docs/CAPACITY.md: what control costs a daemon, by fleet size, change and member. */
+import { SystemClock } from '@cleatquay/clock';
+import { ConfigurationStore } from '@cleatquay/configuration';
+import { MemberTable } from '@cleatquay/membership';
+import { HttpPlatform } from '@cleatquay/platform';
+import { createServer } from 'node:net';
+import { type AddressInfo } from 'node:net';
+import { request } from 'undici';
+import { deployments, fileOf } from '../deployments.js';
+import { DaemonGroup } from '../daemonGroup.js';
+import { table } from '../output.js';
+import { SimulatedNetwork, simulatedAddresses } from '../simulatedNetwork.js';
+
+const SETTLE_MS = 5000;
+const IDLE_MS = 15_000;
+const CHANGES = 6;
+const CHANGE_EVERY_MS = 3000;
+const TABLE_MEMBERS = 10_000;
+const SIMULATED_SECONDS = 30;
+const SIMULATED_CHANGES = 20;
+const ANNOUNCE_EVERY_MS = 1000;
+
+/** Per-daemon figures of a fleet of real processes that carries no calls. */
+export interface FleetCost {
+  readonly daemons: number;
+  /** Percent of a core, idle and with a change of configuration every three seconds. */
+  readonly idleCpu: number;
+  readonly changingCpu: number;
+  /** Bytes a second sent and received, gossip and configuration. */
+  readonly idleBytes: number;
+  readonly changingBytes: number;
+  readonly residentMb: number;
+  /** From acceptance until in force at 99 in 100 daemons, and at all, ms; the slowest change. */
+  readonly spreadP99Ms: number;
+  readonly spreadMaxMs: number;
+}
+
+/** Gossip of simulated members: bytes a second each sends when nothing changes, and bytes for one change. */
+export interface GossipCost {
+  readonly members: number;
+  readonly idleBytes: number;
+  readonly bytesPerChange: number;
+}
+
+/** Starts `count` daemons with an upstream each and measures them. */
+export async function measureFleet(count: number): Promise<FleetCost> {
+  const clock = new SystemClock();
+  await using group = await DaemonGroup.start(count);
+  const listener = createServer(socket => socket.destroy());
+  await new Promise<void>(resolve => listener.listen(0, '127.0.0.1', resolve));
+  const address = `127.0.0.1:${String((listener.address() as AddressInfo).port)}`;
+  const announcing = setInterval(() => void group.announceAll(address), ANNOUNCE_EVERY_MS);
+  try {
+    await clock.sleep(SETTLE_MS);
+    const idle = await costOver(group, () => clock.sleep(IDLE_MS));
+    const spreads: number[][] = [];
+    const changing = await costOver(group, async () => {
+      for (let i = 1; i <= CHANGES; i++) spreads.push(await changeOnce(group, clock, i));
+    });
+    const worst = (share: number) =>
+      Math.max(...spreads.map(s => s[Math.ceil(s.length * share) - 1] ?? Number.NaN));
+    return {
+      daemons: count,
+      idleCpu: idle.cpu,
+      changingCpu: changing.cpu,
+      idleBytes: idle.bytes,
+      changingBytes: changing.bytes,
+      residentMb: changing.residentMb,
+      spreadP99Ms: worst(0.99),
+      spreadMaxMs: worst(1),
+    };
+  } finally {
+    clearInterval(announcing);
+    listener.close();
+  }
+}
+
+/** Applies one change; gives the times until it was in force at each daemon, sorted. */
+async function changeOnce(group: DaemonGroup, clock: SystemClock, slots: number): Promise<number[]> {
+  const deployment = deployments.frostline;
+  if (!deployment) throw new Error('The deployment is missing.');
+  const file = structuredClone(fileOf(deployment));
+  const alarms = file.services.alarms;
+  if (alarms) alarms.slots = slots;
+  await using platform = new HttpPlatform(group.platformUrl);
+  const { applied } = await new ConfigurationStore(platform, clock).apply(file);
+  const acceptedAt = Date.now();
+  await clock.sleep(CHANGE_EVERY_MS);
+  const adoptions = await group.adoptions(applied.generation);
+  return adoptions
+    .map(at => (at === undefined ? Number.POSITIVE_INFINITY : at - acceptedAt))
+    .sort((a, b) => a - b);
+}
+
+async function costOver(group: DaemonGroup, action: () => Promise<void>) {
+  const start = performance.now();
+  const before = await group.counters();
+  await action();
+  const after = await group.counters();
+  const seconds = (performance.now() - start) / 1000;
+  const mean = (of: (i: number) => number) => before.reduce((sum, _, i) => sum + of(i), 0) / before.length;
+  const rate = (name: 'cpuSeconds' | 'bytes') =>
+    mean(i => (after[i]?.[name] ?? 0) - (before[i]?.[name] ?? 0)) / seconds;
+  return {
+    cpu: rate('cpuSeconds') * 100,
+    bytes: rate('bytes'),
+    residentMb: mean(i => after[i]?.residentMb ?? 0),
+  };
+}
+
+/** Gossip among members in this process, by simulated time. */
+export async function measureGossip(members: number): Promise<GossipCost> {
+  await using network = new SimulatedNetwork('capacity');
+  const addresses = simulatedAddresses(members);
+  for (const address of addresses) network.start(address, addresses.slice(0, 3));
+  await network.pass(SETTLE_MS * 2);
+  const sent = () => addresses.reduce((sum, address) => sum + network.get(address).traffic.sentBytes, 0);
+  const atStart = sent();
+  await network.pass(SIMULATED_SECONDS * 1000);
+  const idle = sent() - atStart;
+  const atChanges = sent();
+  for (let i = 0; i < SIMULATED_CHANGES; i++) {
+    const address = addresses[(i * 7) % members] ?? '';
+    network
+      .get(address)
+      .setUpstreams([{ service: 's', address, slots: i + 1, connections: 9, draining: false }]);
+    await network.pass((SIMULATED_SECONDS * 1000) / SIMULATED_CHANGES);
+  }
+  const changing = sent() - atChanges;
+  return {
+    members,
+    idleBytes: idle / members / SIMULATED_SECONDS,
+    bytesPerChange: (changing - idle) / members / SIMULATED_CHANGES,
+  };
+}
+
+/** Bytes of heap that one known member costs. */
+export function measureMemberBytes(): number {
+  const heap = () => {
+    globalThis.gc?.();
+    return process.memoryUsage().heapUsed;
+  };
+  const before = heap();
+  const known = new MemberTable();
+  for (const address of simulatedAddresses(TABLE_MEMBERS)) known.put(Object.freeze(memberAt(address)));
+  const bytes = (heap() - before) / known.size;
+  return bytes;
+}
+
+function memberAt(address: string) {
+  const upstreams = [{ service: 'history', address, slots: 90, connections: 630, draining: false }];
+  const places = {
+    address,
+    gossipAddress: `${address}1`,
+    operatorAddress: `${address}2`,
+    failureDomain: 'regina-a',
+  };
+  return { ...places, epoch: 1_764_000_000_000, incarnation: 3, state: 'ALIVE' as const, upstreams };
+}
+
+/** Processor time of the two daemons of a call, ms: a fleet with load less the same without. */
+export interface CallCost {
+  readonly entryMs: number;
+  readonly upstreamSideMs: number;
+}
+
+const CALLS = 4000;
+const AT_ONCE = 4;
+
+/** Sends calls over two daemons and takes the processor time that they used. */
+export async function measureCall(): Promise<CallCost> {
+  await using group = await DaemonGroup.start(2);
+  const server = (await import('node:http')).createServer((_request, response) => response.end('{}'));
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const address = `127.0.0.1:${String((server.address() as AddressInfo).port)}`;
+  const announcing = setInterval(() => void group.announceOne(1, address), ANNOUNCE_EVERY_MS);
+  await new SystemClock().sleep(SETTLE_MS);
+  const url = `http://${group.callerAddress(0)}/alarms/alarms/7`;
+  const call = async () => {
+    for (let i = 0; i < CALLS / AT_ONCE; i++) await (await request(url)).body.dump();
+  };
+  const burst = () => Promise.all(Array.from({ length: AT_ONCE }, call));
+  await burst();
+  const before = await group.counters();
+  await burst();
+  const after = await group.counters();
+  clearInterval(announcing);
+  server.closeAllConnections();
+  server.close();
+  const ms = (i: number) => (((after[i]?.cpuSeconds ?? 0) - (before[i]?.cpuSeconds ?? 0)) * 1000) / CALLS;
+  return { entryMs: ms(0), upstreamSideMs: ms(1) };
+}
+
+/** All slopes, as tables. */
+export async function measureCapacity(sizes: readonly number[], log: (line: string) => void): Promise<void> {
+  const calls = await measureCall();
+  log(
+    table(
+      ['per call', 'processor ms'],
+      [
+        ['entry', calls.entryMs.toFixed(3)],
+        ['beside the upstream', calls.upstreamSideMs.toFixed(3)],
+      ],
+    ),
+  );
+  log(`One known member: ${measureMemberBytes().toFixed(0)} bytes of heap.`);
+  const gossip: (string | number)[][] = [];
+  for (const members of [30, 100, 300]) {
+    const cost = await measureGossip(members);
+    gossip.push([members, cost.idleBytes.toFixed(0), cost.bytesPerChange.toFixed(0)]);
+  }
+  log(table(['simulated members', 'sent B/s idle', 'sent B per change'], gossip));
+  const fleets: (string | number)[][] = [];
+  for (const size of sizes) {
+    const c = await measureFleet(size);
+    const numbers = [c.idleCpu, c.changingCpu].map(n => n.toFixed(2));
+    const bytes = [c.idleBytes, c.changingBytes, c.residentMb, c.spreadP99Ms, c.spreadMaxMs].map(n =>
+      n.toFixed(0),
+    );
+    fleets.push([c.daemons, ...numbers, ...bytes]);
+    log(`Measured ${String(size)} daemons.`);
+  }
+  const head = [
+    'daemons',
+    'idle % core',
+    'changing % core',
+    'idle B/s',
+    'changing B/s',
+    'resident MB',
+    'spread p99 ms',
+    'spread max ms',
+  ];
+  log(table(head, fleets));
+}
--- a/packages/bench/src/experiments/overload.ts
+++ b/packages/bench/src/experiments/overload.ts
@@ -72,11 +72,11 @@
   const usage = processorUse();
   const from = clock.now();
   load.rate = CHAIN_CAPACITY * shape.demand;
-  await Promise.all(bottleneck.map(node => fleet.behave(node, { slowFactor: shape.slowFactor })));
+  await slowDown(fleet, bottleneck, shape.slowFactor);
   await shape.disturb?.(fleet, bottleneck);
   await clock.sleep(TRIGGER_MS);
   load.rate = normal;
-  await Promise.all(bottleneck.map(node => fleet.behave(node, { slowFactor: 1 })));
+  await slowDown(fleet, bottleneck, 1);
   await shape.calm?.(fleet, bottleneck);
   const trigger: Trigger = { from, to: clock.now() };
   const used = usage();
@@ -87,6 +87,11 @@
   return { ...(await figures(fleet, load, trigger, end, capacity)), processorUse: used };
 }
 
+/** Upstreams that were killed meanwhile are passed over. */
+async function slowDown(fleet: Fleet, nodes: readonly FleetNode[], slowFactor: number): Promise<void> {
+  await Promise.all(nodes.map(node => fleet.behave(node, { slowFactor }).catch(() => undefined)));
+}
+
 async function figures(fleet: Fleet, load: Load, trigger: Trigger, end: number, capacity: number) {
   const { samples } = load;
   const settled = trigger.from + RAMP_MS;
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,6 +1,7 @@
 /** `npm run bench -- list | run <experiment>` */
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
+import { measureCapacity } from './experiments/capacity.js';
 import { experiments } from './experiments/index.js';
 import { table } from './output.js';
 import { type ExperimentResult } from './results.js';
@@ -44,6 +45,13 @@
       process.exitCode = result.violations.length > 0 ? EXIT_VIOLATION : 0;
     },
   )
+  .command(
+    'capacity',
+    'measure the slopes of docs/CAPACITY.md',
+    y => y.options({ sizes: { type: 'string', default: '15,30,60,120', describe: 'numbers of daemons' } }),
+    argv =>
+      measureCapacity(argv.sizes.split(',').map(Number), line => void process.stdout.write(`${line}\n`)),
+  )
   .demandCommand(1)
   .strict()
   .parse();
--- a/packages/caller/src/caller.ts
+++ b/packages/caller/src/caller.ts
@@ -6,6 +6,7 @@
 const CONNECTIONS = 256;
 const RESENDS = 4;
 const RESEND_PAUSE_MS = 100;
+const SHORTEST_SEND_MS = 1500;
 
 /** What a caller starts from. */
 export interface CallerOptions {
@@ -62,7 +63,10 @@
     for (let sends = 1; sends <= RESENDS && clock.now() < end; sends++) {
       const pool = this.pools[(sends - 1) % this.pools.length];
       if (!pool) break;
-      result = { ...(await this.attempt(pool, call, requestId, end - clock.now())), requestId, sends };
+      const remainingMs = end - clock.now();
+      const patienceMs = Math.min(remainingMs, Math.max(SHORTEST_SEND_MS, remainingMs / 2));
+      const attempted = await this.attempt(pool, call, requestId, remainingMs, patienceMs);
+      result = { ...attempted, requestId, sends };
       if (result.outcome !== 'unknown') return result;
       await clock.sleep(RESEND_PAUSE_MS * sends * (0.5 + random()));
     }
@@ -73,11 +77,13 @@
     await Promise.all(this.pools.map(pool => pool.destroy()));
   }
 
+  /** One send. A daemon that says nothing for `patienceMs` may be frozen: another is asked, under the same id. */
   private async attempt(
     pool: Pool,
     call: CallSpecification,
     requestId: string | undefined,
     remainingMs: number,
+    patienceMs: number,
   ) {
     const id = requestId === undefined ? {} : { 'cleatquay-request-id': requestId };
     const timeout = { 'cleatquay-timeout-ms': String(Math.max(1, Math.floor(remainingMs))) };
@@ -87,7 +93,7 @@
         path: call.path,
         headers: { 'content-type': 'application/json', ...call.headers, ...timeout, ...id },
         body: call.body ?? null,
-        signal: AbortSignal.timeout(Math.max(1, Math.floor(remainingMs) + LATE_MS)),
+        signal: AbortSignal.timeout(Math.max(1, Math.floor(patienceMs) + LATE_MS)),
       });
       const body = Buffer.from(await answer.body.arrayBuffer());
       return { ...NO_DAEMON, ...told(answer.headers), status: answer.statusCode, body };
--- a/packages/calls/src/peers.ts
+++ b/packages/calls/src/peers.ts
@@ -22,8 +22,8 @@
 import { streamParts } from './streamParts.js';
 
 const OPTIONS = {
-  'grpc.keepalive_time_ms': 2000,
-  'grpc.keepalive_timeout_ms': 1000,
+  'grpc.keepalive_time_ms': 1000,
+  'grpc.keepalive_timeout_ms': 500,
   'grpc.client_idle_timeout_ms': 60_000,
   'grpc.initial_reconnect_backoff_ms': 100,
   'grpc.max_reconnect_backoff_ms': 2000,
@@ -115,6 +115,12 @@
     });
   }
 
+  /** Closes the client of a peer that is gone for good. */
+  forget(address: string): void {
+    this.clients.get(address)?.close();
+    this.clients.delete(address);
+  }
+
   /** Addresses with a client. */
   get addresses(): string[] {
     return [...this.clients.keys()];
--- a/packages/configuration/src/configuration.ts
+++ b/packages/configuration/src/configuration.ts
@@ -1,4 +1,5 @@
 /** The configuration that one daemon has in force. It only ever moves to higher generations. */
+import { type Clock } from '@cleatquay/clock';
 import { type ConfigurationAnswer, type Section } from '@cleatquay/protocol';
 import { CallGraph } from '@cleatquay/settings';
 import { type AppliedVersion } from './configurationStore.js';
@@ -9,7 +10,12 @@
   private version: AppliedVersion | undefined;
   private compiled: CallGraph | undefined;
 
-  constructor(private readonly onChange: (generation: number) => void) {}
+  private adopted: Date | undefined;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly onChange: (generation: number) => void,
+  ) {}
 
   /** 0 before the first. */
   get generation(): number {
@@ -21,6 +27,11 @@
     return this.version?.applyId ?? '';
   }
 
+  /** When the version in force came. */
+  get adoptedAt(): Date | undefined {
+    return this.adopted;
+  }
+
   /** The declared call graph; undefined before the first generation. */
   get graph(): CallGraph | undefined {
     return this.compiled;
@@ -31,6 +42,7 @@
     if (version.generation <= this.generation) return false;
     this.compiled = new CallGraph(joinSections(version.sections));
     this.version = version;
+    this.adopted = this.clock.date();
     this.onChange(version.generation);
     return true;
   }
--- a/packages/configuration/src/configurationSpread.ts
+++ b/packages/configuration/src/configurationSpread.ts
@@ -1,7 +1,7 @@
 /** Brings new generations to this daemon: from the platform if it is one of the few readers, else from peers. */
 import { type Clock, type Random } from '@cleatquay/clock';
 import { asFailure } from '@cleatquay/errors';
-import { type ConfigurationAnswer } from '@cleatquay/protocol';
+import { ConfigurationAnswer } from '@cleatquay/protocol';
 import { type Configuration } from './configuration.js';
 import { type ConfigurationStore } from './configurationStore.js';
 
@@ -27,7 +27,14 @@
 
 /** Two tasks: one reads the platform, one fetches from peers what gossip says they have. */
 export class ConfigurationSpread implements AsyncDisposable {
-  readonly state = { platformReads: 0, platformFailures: 0, peerFetches: 0, peerFailures: 0, lastError: '' };
+  readonly state = {
+    platformReads: 0,
+    platformFailures: 0,
+    peerFetches: 0,
+    peerFailures: 0,
+    peerBytes: 0,
+    lastError: '',
+  };
   private readonly stopped = new AbortController();
   private reading: Promise<void> = Promise.resolve();
   private fetching: Promise<void> | undefined;
@@ -102,7 +109,9 @@
     const { configuration } = this.options;
     this.state.peerFetches++;
     try {
-      return configuration.adoptChanges(await this.options.fetch(peer, configuration.generation));
+      const answer = await this.options.fetch(peer, configuration.generation);
+      this.state.peerBytes += ConfigurationAnswer.encode(answer).finish().length;
+      return configuration.adoptChanges(answer);
     } catch (error) {
       this.state.peerFailures++;
       this.state.lastError = asFailure(error).describe();
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -17,7 +17,7 @@
 import { Configuration, ConfigurationSpread, ConfigurationStore } from '@cleatquay/configuration';
 import { Membership, UdpDatagrams } from '@cleatquay/membership';
 import { HttpPlatform } from '@cleatquay/platform';
-import { type RequestHead, type SealAnswer, type SealRequest } from '@cleatquay/protocol';
+import { type Member, type RequestHead, type SealAnswer, type SealRequest } from '@cleatquay/protocol';
 import { Directory, Router } from '@cleatquay/routing';
 import { type ProcessSettings, type Route } from '@cleatquay/settings';
 import { type Service, ServiceBroker } from 'moleculer';
@@ -29,7 +29,6 @@
 import { Faults } from './faults.js';
 import { Metrics } from './metrics.js';
 import { operatorGateway } from './operatorGateway.js';
-import { freePort } from './freePort.js';
 import { isReader } from './readers.js';
 import { Upstreams } from './upstreams.js';
 
@@ -37,6 +36,7 @@
 /** How long callers on kept connections have to hear of the departure, ms. */
 const ANNOUNCED_MS = 500;
 const DRAIN_CHECK_MS = 20;
+const FORGET_PEER_MS = 60_000;
 
 /** What a daemon is given from outside. */
 export interface DaemonParts {
@@ -74,7 +74,6 @@
     private readonly inner: InnerServer,
     private readonly datagrams: UdpDatagrams,
     private readonly self: string,
-    operatorPort: number,
   ) {
     const { settings, clock, random, log } = parts;
     const membershipLog = log.child({ part: 'membership' });
@@ -84,7 +83,7 @@
     const epoch = () => this.membership.me.epoch;
     const graph = () => this.configuration.graph;
 
-    this.configuration = new Configuration(generation => this.membership.setGeneration(generation));
+    this.configuration = new Configuration(clock, generation => this.membership.setGeneration(generation));
     this.membership = new Membership({
       clock,
       random,
@@ -94,14 +93,14 @@
       self: {
         address: self,
         gossipAddress: datagrams.address,
-        operatorAddress: `${settings.ip}:${String(operatorPort)}`,
+        operatorAddress: '',
         failureDomain: settings.failureDomain,
         epoch: clock.date().getTime(),
       },
       onGeneration: (generation, from) => this.heardGeneration(generation, from),
       onChange: member => {
-        this.directory.update(member);
         membershipLog.debug(`Membership: ${member.address} is ${member.state.toLowerCase()}.`);
+        this.memberChanged(member);
       },
     });
     this.upstreams = new Upstreams({
@@ -188,10 +187,9 @@
       configuration: ({ generation }) => serving(started).configuration.changesSince(generation),
     });
     const innerPort = await inner.listen(settings.ip, settings.innerPort);
-    const operatorPort = settings.operatorPort === 0 ? await freePort(settings.ip) : settings.operatorPort;
-    const daemon = new Daemon(parts, inner, datagrams, `${settings.ip}:${String(innerPort)}`, operatorPort);
+    const daemon = new Daemon(parts, inner, datagrams, `${settings.ip}:${String(innerPort)}`);
     started.daemon = daemon;
-    await daemon.serve(operatorPort);
+    await daemon.serve();
     return daemon;
   }
 
@@ -249,7 +247,7 @@
     await this.platform?.[Symbol.asyncDispose]();
   }
 
-  private async serve(operatorPort: number): Promise<void> {
+  private async serve(): Promise<void> {
     const { settings } = this.parts;
     const callers = this.broker.createService(
       callerGateway({
@@ -261,10 +259,10 @@
         track: work => this.track(work),
       }),
     );
-    this.broker.createService(
+    const operators = this.broker.createService(
       operatorGateway({
         ip: settings.ip,
-        port: operatorPort,
+        port: settings.operatorPort,
         upstreams: this.upstreams,
         metrics: this.metrics,
         journal: this.journal,
@@ -276,9 +274,10 @@
       }),
     );
     await this.broker.start();
-    const server = (callers as Service & { server: Server }).server;
+    const server = serverOf(callers);
     server.on('clientError', (error, socket) => writeHttpParserError(error, socket));
-    this.callerAddress = `${settings.ip}:${String((server.address() as AddressInfo).port)}`;
+    this.callerAddress = addressOf(settings.ip, server);
+    this.membership.setOperatorAddress(addressOf(settings.ip, serverOf(operators)));
     this.membership.start();
     this.spread.start();
   }
@@ -310,6 +309,20 @@
     this.directory.update(this.membership.me);
   }
 
+  private memberChanged(member: Member): void {
+    this.directory.update(member);
+    const isGone = member.state === 'DEAD' || member.state === 'LEFT';
+    if (isGone) this.parts.clock.after(FORGET_PEER_MS, () => this.forgetPeer(member));
+  }
+
+  /** Calls to a leaving peer may still be in flight, so that its connection is closed some time later. */
+  private forgetPeer({ address, epoch }: Member): void {
+    const now = this.membership.table.get(address);
+    if (now?.epoch !== epoch || now.state === 'ALIVE') return;
+    this.peers.forget(address);
+    this.router.forget(address);
+  }
+
   private heardGeneration(generation: number, from: string): void {
     const peer = this.membership.table.atGossip(from)?.address;
     if (peer !== undefined) this.spread.heard(generation, peer);
@@ -329,6 +342,7 @@
       failureDomain: this.parts.settings.failureDomain,
       generation: this.configuration.generation,
       applyId: this.configuration.applyId,
+      adoptedAt: this.configuration.adoptedAt,
       upstreams: this.upstreams.dump(),
       members: [...this.membership.table.all()].map(m => ({
         address: m.address,
@@ -348,6 +362,14 @@
       () => this.configuration.generation,
     );
     metrics.gauge('cleatquay_requests_in_flight', 'Requests of callers in flight', () => this.inFlight.size);
+    const { traffic } = membership;
+    metrics.gauge('cleatquay_gossip_received_bytes', 'Bytes of gossip received', () => traffic.receivedBytes);
+    const { state } = this.spread;
+    metrics.gauge(
+      'cleatquay_configuration_received_bytes',
+      'Bytes of configuration from peers',
+      () => state.peerBytes,
+    );
     metrics.gauge('cleatquay_members', 'Known members, gone ones included', () => membership.table.size);
     metrics.gauge('cleatquay_gossip_sent_bytes', 'Bytes of gossip sent', () => membership.traffic.sentBytes);
     metrics.gauge(
@@ -362,6 +384,15 @@
   }
 }
 
+/** The HTTP server that moleculer-web made for a service. */
+function serverOf(service: Service): Server {
+  return (service as Service & { server: Server }).server;
+}
+
+function addressOf(ip: string, server: Server): string {
+  return `${ip}:${String((server.address() as AddressInfo).port)}`;
+}
+
 function serving({ daemon }: { daemon?: Daemon }): Daemon {
   if (daemon) return daemon;
   throw new Error('The daemon is still starting.');
--- a/packages/membership/src/memberTable.ts
+++ b/packages/membership/src/memberTable.ts
@@ -4,7 +4,7 @@
 import { crc32 } from 'node:zlib';
 
 /** Buckets of the table, each compared by one digest. */
-export const BUCKETS = 64;
+export const BUCKETS = 256;
 
 const PRECEDENCE: Record<MemberState, number> = { ALIVE: 0, SUSPECT: 1, DEAD: 2, LEFT: 3 };
 
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -18,11 +18,12 @@
 const ACK_TIMEOUT_MS = 300;
 const INDIRECT_PROBES = 3;
 const SUSPICION_PERIODS = 4;
-const SYNC_EVERY_PERIODS = 15;
+const SYNC_EVERY_PERIODS = 30;
 const SYNC_WITH_GONE = 0.2;
 const FORGET_AFTER_MS = 2 * 3_600_000;
 const EAGER_FANOUT = 3;
 const EAGER_DELAY_MS = 20;
+const EAGER_AGAIN_MS = 200;
 const DATAGRAM_BUDGET = 1100;
 const TRANSMISSIONS = 3;
 
@@ -56,6 +57,7 @@
   private readonly stopped = new AbortController();
   private order: string[] = [];
   private eager: Timer | undefined;
+  private eagerAgain: Timer | undefined;
   private running: Promise<void> = Promise.resolve();
 
   constructor(private readonly options: MembershipOptions) {
@@ -69,6 +71,11 @@
     return this.self;
   }
 
+  /** Completes this daemon's record; to be called before `start`. */
+  setOperatorAddress(operatorAddress: string): void {
+    this.assertSelf({ operatorAddress });
+  }
+
   /** Joins by the seeds and starts to probe. */
   start(): void {
     for (const seed of this.options.seeds) this.sendSync(seed, true);
@@ -96,6 +103,7 @@
   async [Symbol.asyncDispose](): Promise<void> {
     this.stopped.abort();
     this.eager?.[Symbol.dispose]();
+    this.eagerAgain?.[Symbol.dispose]();
     for (const settle of [...this.acks.values()]) settle(false);
     for (const timer of this.suspicions.values()) timer[Symbol.dispose]();
     await this.running;
@@ -207,15 +215,25 @@
     this.scheduleEager();
   }
 
-  /** News goes to a few members at once, so that it is everywhere long before probes would carry it. */
+  /**
+   * News goes to a few members at once, so that it is everywhere long before probes would carry it. One round of
+   * three misses about one member in seventeen; a second one, a little later, leaves hardly any to the probes.
+   */
   private scheduleEager(): void {
     if (this.eager || this.stopped.signal.aborted) return;
-    this.eager = this.options.clock.after(EAGER_DELAY_MS, () => {
+    const { clock } = this.options;
+    this.eager = clock.after(EAGER_DELAY_MS, () => {
       this.eager = undefined;
-      for (const peer of this.randomAlive(EAGER_FANOUT)) this.send(peer.gossipAddress, {});
+      this.sendEagerly();
+      this.eagerAgain?.[Symbol.dispose]();
+      this.eagerAgain = clock.after(EAGER_AGAIN_MS, () => this.sendEagerly());
     });
   }
 
+  private sendEagerly(): void {
+    for (const peer of this.randomAlive(EAGER_FANOUT)) this.send(peer.gossipAddress, {});
+  }
+
   private receive(bytes: Uint8Array): void {
     this.traffic.receivedBytes += bytes.length;
     let gossip: Gossip;
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -77,6 +77,11 @@
     this.statisticsOf(address).heard(route, load);
   }
 
+  /** Drops the measurements of a candidate that is gone for good. */
+  forget(address: string): void {
+    this.statistics.delete(address);
+  }
+
   /** Measurements by candidate, for a dump. */
   dump(): object {
     return Object.fromEntries(
