Keep whole tables out of rumour, and gray or lost upstreams out of the near choice

Idle gossip was 2,150 B/s sent by each of 100 or 300 simulated members, a minute after they started, against 187 at 30: everybody passed on everybody as news, up to 3 log2(n) times. At 10,000 that would last for hours and takes the whole budget of 3 KB/s. Now what comes by a sync is passed on for 30 members at most; the receiver syncs again after a second instead. A single near upstream was taken though it was gray (the comparison had needed three near ones) or out of reach. Both are now judged over near and far ones.

--- a/packages/bench/src/experiments/capacity.ts
+++ b/packages/bench/src/experiments/capacity.ts
@@ -12,6 +12,9 @@
 import { SimulatedNetwork, simulatedAddresses } from '../simulatedNetwork.js';
 
 const SETTLE_MS = 5000;
+const FLEET_SETTLE_MS = 20_000;
+const GOSSIP_SETTLE_MS = 60_000;
+const WARM_UPS = 3;
 const IDLE_MS = 15_000;
 const CHANGES = 6;
 const CHANGE_EVERY_MS = 3000;
@@ -51,7 +54,7 @@
   const address = `127.0.0.1:${String((listener.address() as AddressInfo).port)}`;
   const announcing = setInterval(() => void group.announceAll(address), ANNOUNCE_EVERY_MS);
   try {
-    await clock.sleep(SETTLE_MS);
+    await clock.sleep(FLEET_SETTLE_MS);
     const idle = await costOver(group, () => clock.sleep(IDLE_MS));
     const spreads: number[][] = [];
     const changing = await costOver(group, async () => {
@@ -113,7 +116,7 @@
   await using network = new SimulatedNetwork('capacity');
   const addresses = simulatedAddresses(members);
   for (const address of addresses) network.start(address, addresses.slice(0, 3));
-  await network.pass(SETTLE_MS * 2);
+  await network.pass(GOSSIP_SETTLE_MS);
   const sent = () => addresses.reduce((sum, address) => sum + network.get(address).traffic.sentBytes, 0);
   const atStart = sent();
   await network.pass(SIMULATED_SECONDS * 1000);
@@ -180,7 +183,7 @@
     for (let i = 0; i < CALLS / AT_ONCE; i++) await (await request(url)).body.dump();
   };
   const burst = () => Promise.all(Array.from({ length: AT_ONCE }, call));
-  await burst();
+  for (let i = 0; i < WARM_UPS; i++) await burst();
   const before = await group.counters();
   await burst();
   const after = await group.counters();
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -24,8 +24,11 @@
 const EAGER_FANOUT = 3;
 const EAGER_DELAY_MS = 20;
 const EAGER_AGAIN_MS = 200;
+const SYNC_AGAIN_MS = 1000;
+const BULK_RUMOURS = 30;
 const DATAGRAM_BUDGET = 1100;
-const TRANSMISSIONS = 3;
+const FEWEST_TRANSMISSIONS = 8;
+const TRANSMISSIONS = 1.5;
 
 /** What a daemon brings to its membership. */
 export interface MembershipOptions {
@@ -58,6 +61,7 @@
   private order: string[] = [];
   private eager: Timer | undefined;
   private eagerAgain: Timer | undefined;
+  private syncAgain: Timer | undefined;
   private running: Promise<void> = Promise.resolve();
 
   constructor(private readonly options: MembershipOptions) {
@@ -104,6 +108,7 @@
     this.stopped.abort();
     this.eager?.[Symbol.dispose]();
     this.eagerAgain?.[Symbol.dispose]();
+    this.syncAgain?.[Symbol.dispose]();
     for (const settle of [...this.acks.values()]) settle(false);
     for (const timer of this.suspicions.values()) timer[Symbol.dispose]();
     await this.running;
@@ -177,11 +182,10 @@
   }
 
   /** Takes a record if it is news, and passes it on. */
-  private accept(member: Member): void {
+  private accept(member: Member, isBulk = false): void {
     if (member.address === this.self.address) return this.refute(member);
     if (!this.table.put(member)) return;
-    this.broadcasts.add(member);
-    this.scheduleEager();
+    this.passOn(member, isBulk);
     this.suspicions.get(member.address)?.[Symbol.dispose]();
     this.suspicions.delete(member.address);
     if (member.state === 'SUSPECT') this.startSuspicion(member);
@@ -191,6 +195,22 @@
     this.options.onChange(member);
   }
 
+  /**
+   * News is passed on by rumour; a whole table that came by a sync isn't, beyond a few members: when many start or two
+   * regions heal, rumours of everybody to everybody would fill the network for minutes. They sync again soon instead.
+   */
+  private passOn(member: Member, isBulk: boolean): void {
+    if (isBulk) this.syncAgain ??= this.options.clock.after(SYNC_AGAIN_MS, () => this.syncSoon());
+    if (isBulk && this.broadcasts.size >= BULK_RUMOURS) return;
+    this.broadcasts.add(member);
+    this.scheduleEager();
+  }
+
+  private syncSoon(): void {
+    this.syncAgain = undefined;
+    this.syncWithSomeone();
+  }
+
   private startSuspicion(member: Member): void {
     const scale = Math.max(1, Math.log10(this.table.size));
     const ms = SUSPICION_PERIODS * scale * PERIOD_MS * this.health.multiplier;
@@ -245,7 +265,7 @@
     }
     if (this.options.isCut?.(gossip.from)) return;
     for (const member of gossip.members) {
-      if (isUsableMember(member)) this.accept(member);
+      if (isUsableMember(member)) this.accept(member, gossip.bulk);
       else this.traffic.invalid++;
     }
     if (gossip.generation > 0) this.options.onGeneration(gossip.generation, gossip.from);
@@ -274,7 +294,7 @@
 
   private handleSync(sync: Sync, from: string): void {
     const members = this.table.differing(sync.digests);
-    while (members.length > 0) this.send(from, {}, members.splice(0, membersThatFit(members)));
+    while (members.length > 0) this.send(from, { bulk: true }, members.splice(0, membersThatFit(members)));
     if (sync.reply) this.sendSync(from, false);
   }
 
@@ -297,14 +317,19 @@
     this.send(to, { sync: { digests: this.table.digests(), reply } }, [this.self]);
   }
 
-  private send(to: string, what: { ping?: Ping; ack?: Ack; sync?: Sync }, members?: Member[]): void {
+  private send(
+    to: string,
+    what: { ping?: Ping; ack?: Ack; sync?: Sync; bulk?: boolean },
+    members?: Member[],
+  ): void {
     if (this.options.isCut?.(to)) return;
-    const limit = Math.ceil(TRANSMISSIONS * Math.log2(this.table.size + 1));
+    const limit = Math.max(FEWEST_TRANSMISSIONS, Math.ceil(TRANSMISSIONS * Math.log2(this.table.size + 1)));
     const bytes = Gossip.encode({
       from: this.self.gossipAddress,
       ping: what.ping,
       ack: what.ack,
       sync: what.sync,
+      bulk: what.bulk ?? false,
       members: members ?? this.broadcasts.take(DATAGRAM_BUDGET, limit),
       generation: this.generation,
     }).finish();
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -9,7 +9,7 @@
 const FAR_SUBSET = 6;
 const SPILL_AT = 0.9;
 const GRAY_FACTOR = 3;
-const GRAY_SAMPLES = 10;
+const GRAY_SAMPLES = 5;
 const GRAY_TRICKLE = 0.05;
 
 /** What a router needs of its daemon. */
@@ -45,10 +45,11 @@
   choose(service: string, route: string, level: number, tried: ReadonlySet<string>): Selection {
     const subset = this.subset(service);
     if (subset.near.length + subset.far.length === 0) return { kind: 'none' };
-    const usable = (candidate: Candidate) => !tried.has(candidate.address);
-    const near = subset.near.filter(usable);
-    const far = subset.far.filter(usable);
-    if (near.length + far.length === 0) return { kind: 'none' };
+    const untried = [...subset.near, ...subset.far].filter(candidate => !tried.has(candidate.address));
+    if (untried.length === 0) return { kind: 'none' };
+    const usable = this.withoutGray(this.reachable(untried));
+    const near = usable.filter(candidate => candidate.failureDomain === this.options.failureDomain);
+    const far = usable.filter(candidate => candidate.failureDomain !== this.options.failureDomain);
     const admits = (c: Candidate) => this.statisticsOf(c.address).levelFor(route) > level;
     const best = this.pick(near.filter(admits));
     if (best && this.utilisation(best) < SPILL_AT) return { kind: 'chosen', candidate: best };
@@ -101,16 +102,23 @@
     return statistics;
   }
 
-  /** Two at random, the less busy of them (Mitzenmacher 2001); unreachable and gray ones only if need be. */
+  /** Two at random, the less busy of them (Mitzenmacher 2001). */
   private pick(candidates: Candidate[]): Candidate | undefined {
-    const reachable = candidates.filter(c => !this.statisticsOf(c.address).isAvoided);
-    const pool = this.withoutGray(reachable.length > 0 ? reachable : candidates);
-    const first = pool[Math.floor(this.options.random() * pool.length)];
-    const second = pool[Math.floor(this.options.random() * pool.length)];
+    const first = candidates[Math.floor(this.options.random() * candidates.length)];
+    const second = candidates[Math.floor(this.options.random() * candidates.length)];
     return this.lessBusy(first, second);
   }
 
-  /** Leaves out those far slower than the median, but for a trickle, and never the larger half. */
+  /** Leaves out those that were out of reach a moment ago, unless all were. */
+  private reachable(candidates: Candidate[]): Candidate[] {
+    const reachable = candidates.filter(c => !this.statisticsOf(c.address).isAvoided);
+    return reachable.length > 0 ? reachable : candidates;
+  }
+
+  /**
+   * Leaves out those far slower than the median of all, near and far, but for a trickle that finds out when they are
+   * well again. Whatever is as fast as the median stays, so that the larger half always does.
+   */
   private withoutGray(candidates: Candidate[]): Candidate[] {
     if (candidates.length < 3 || this.options.random() < GRAY_TRICKLE) return candidates;
     const measured = candidates.map(c => this.statisticsOf(c.address)).filter(s => s.samples >= GRAY_SAMPLES);
--- /dev/null
+++ b/tests/routing.spec.ts
@@ -0,0 +1,112 @@
+import { ManualClock, seededRandom } from '@cleatquay/clock';
+import { type Member } from '@cleatquay/protocol';
+import { Directory, Router } from '@cleatquay/routing';
+import { expect } from 'chai';
+
+const NOBODY: ReadonlySet<string> = new Set();
+
+/** One member with an upstream of `s`; `a` is near. */
+function member(name: string, failureDomain: string, draining = false): Member {
+  const address = `127.0.0.1:${name}`;
+  const upstreams = [{ service: 's', address, slots: 10, connections: 10, draining }];
+  const places = { address, gossipAddress: address, operatorAddress: address, failureDomain };
+  return { ...places, epoch: 1, incarnation: 1, state: 'ALIVE', upstreams };
+}
+
+describe('routing', () => {
+  let clock: ManualClock;
+  let directory: Directory;
+  let router: Router;
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    directory = new Directory();
+    directory.update(member('1', 'a'));
+    directory.update(member('2', 'b'));
+    directory.update(member('3', 'c'));
+    router = new Router({
+      clock,
+      random: seededRandom('routing'),
+      directory,
+      self: 'me',
+      failureDomain: 'a',
+    });
+  });
+
+  const chosen = (level = 0) => {
+    const selection = router.choose('s', 's.run', level, NOBODY);
+    return selection.kind === 'chosen' ? selection.candidate.address : selection.kind;
+  };
+
+  /** Chooses often; gives the share that each got. */
+  const shares = (count = 1000) => {
+    const counted: Record<string, number> = {};
+    for (let i = 0; i < count; i++) {
+      const address = chosen();
+      counted[address] = (counted[address] ?? 0) + 1 / count;
+    }
+    return counted;
+  };
+
+  const measure = (name: string, ms: number, times = 20) => {
+    for (let i = 0; i < times; i++) {
+      const ended = router.started(`127.0.0.1:${name}`);
+      clock.advance(ms);
+      ended('answered');
+    }
+  };
+
+  it('takes the near upstream while it has room', () => {
+    expect(shares()).to.have.all.keys('127.0.0.1:1');
+  });
+
+  it('spills over to others when the near one is busy', () => {
+    for (let i = 0; i < 10; i++) router.started('127.0.0.1:1');
+    expect(shares()).to.not.have.any.keys('127.0.0.1:1');
+  });
+
+  it('avoids a near upstream that is far slower than the others, but for a trickle', () => {
+    measure('1', 100);
+    measure('2', 10);
+    measure('3', 10);
+    expect(shares()['127.0.0.1:1'] ?? 0)
+      .to.be.greaterThan(0)
+      .and.below(0.1);
+  });
+
+  it('leaves no service without upstreams when all of them are slow', () => {
+    ['1', '2', '3'].forEach(name => measure(name, 1000));
+    expect(shares()).to.have.all.keys('127.0.0.1:1');
+  });
+
+  it('never sends what would be refused, and refuses when all would', () => {
+    const load = { inFlight: 0, queued: 0, limit: 10, admissionLevel: 1.5 };
+    router.heard('127.0.0.1:1', 's.run', load);
+    expect(chosen(1.6)).to.not.equal('127.0.0.1:1');
+    router.heard('127.0.0.1:2', 's.run', load);
+    router.heard('127.0.0.1:3', 's.run', load);
+    expect(chosen(1.6)).to.equal('refused');
+    expect(chosen(1.4)).to.equal('127.0.0.1:1');
+  });
+
+  it('opens again for what was refused when it hears nothing more', () => {
+    const load = { inFlight: 0, queued: 0, limit: 10, admissionLevel: 0 };
+    ['1', '2', '3'].forEach(name => router.heard(`127.0.0.1:${name}`, 's.run', load));
+    expect(chosen(2.9)).to.equal('refused');
+    clock.advance(7000);
+    expect(chosen(2.9)).to.not.equal('refused');
+  });
+
+  it('backs off from an upstream out of reach', () => {
+    router.started('127.0.0.1:1')('unreachable');
+    expect(shares()).to.not.have.any.keys('127.0.0.1:1');
+  });
+
+  it('drops draining and gone upstreams at once', () => {
+    directory.update(member('1', 'a', true));
+    directory.update({ ...member('2', 'b'), state: 'DEAD' });
+    expect(shares()).to.have.all.keys('127.0.0.1:3');
+    directory.update({ ...member('3', 'c'), state: 'LEFT' });
+    expect(chosen()).to.equal('none');
+  });
+});
