--- a/packages/admission/src/admission.ts
+++ b/packages/admission/src/admission.ts
@@ -1,14 +1,14 @@
 /** Admission to one upstream: a concurrency limit, a short queue in order of importance, and the level it implies. */
 import { type Clock, type Random, type Timer } from '@cleatquay/clock';
+import { invariant } from '@cleatquay/errors';
 import { type Load, type Refusal, refusalOf } from '@cleatquay/protocol';
 import { AdaptiveLimit } from './adaptiveLimit.js';
 import { AdmissionLevel } from './admissionLevel.js';
 
 const TICK_MS = 25;
 const SMALLEST_QUEUE = 2;
-const TOP_PATIENCE = 4;
+const MORE_PATIENCE = 4;
 const BURST_MS = 250;
-const BURST_PATIENCE = 4;
 const FIRST_GUESS_MS = 20;
 const LATENCY_WEIGHT = 0.05;
 const SHORTEST_RETRY_AFTER_MS = 500;
@@ -67,7 +67,7 @@
   async request(level: number, remainingMs: number, signal: AbortSignal): Promise<Permit | Refusal> {
     if (signal.aborted) return refusalOf('deadlineTooShort', 'The caller is gone.');
     if (this.queue.length === 0 && this.inFlight < this.limit.value) return this.grant();
-    return new Promise(resolve => this.enqueue(level, remainingMs, signal, resolve));
+    return new Promise(resolve => this.enqueue({ level, remainingMs }, signal, resolve));
   }
 
   /** What callers' daemons are told. */
@@ -95,6 +95,7 @@
   }
 
   private grant(): Permit {
+    invariant(this.inFlight < this.limit.value, 'Admission: the limit was passed.');
     this.inFlight++;
     this.counts.admitted++;
     const start = this.options.clock.now();
@@ -118,17 +119,21 @@
   }
 
   private enqueue(
-    level: number,
-    remainingMs: number,
+    { level, remainingMs }: { level: number; remainingMs: number },
     signal: AbortSignal,
-    resolve: (r: Permit | Refusal) => void,
-  ) {
+    resolve: (result: Permit | Refusal) => void,
+  ): void {
     const now = this.options.clock.now();
     const settle = (result: Permit | Refusal) => {
       signal.removeEventListener('abort', leave);
       resolve(result);
     };
-    const waiter: Waiter = { level, since: now, latestStart: now + remainingMs - this.latencyMs / 2, settle };
+    const waiter: Waiter = {
+      level,
+      since: now,
+      latestStart: now + remainingMs - this.latencyMs / 2,
+      settle,
+    };
     const leave = () => this.drop(waiter);
     signal.addEventListener('abort', leave, { once: true });
     if (this.queue.length === 0) this.lastEmptyAt = now;
@@ -149,26 +154,31 @@
   }
 
   /** As many as the upstream gets through within the longest delay. */
-  private capacity(): number {
-    return Math.max(SMALLEST_QUEUE, Math.floor((this.limit.value * this.patienceMs()) / this.latencyMs));
+  private capacity(isTop: boolean): number {
+    return Math.max(SMALLEST_QUEUE, Math.floor((this.limit.value * this.patienceMs(isTop)) / this.latencyMs));
   }
 
   /** The top class may wait longer: behind work that is never interrupted, its own short bursts overflow a short queue. */
   private evictIfFull(): void {
     const top = this.topCount();
-    const isFull = this.queue.length - top > this.capacity() || top > this.capacity() * TOP_PATIENCE;
+    const isFull = this.queue.length - top > this.capacity(false) || top > this.capacity(true);
     const worst = isFull ? this.queue.pop() : undefined;
-    if (worst) this.refuse(worst);
+    if (!worst) return;
+    invariant(
+      (this.queue.at(-1)?.level ?? 0) <= worst.level,
+      'Admission: a less important request kept its place.',
+    );
+    this.refuse(worst);
   }
 
   /**
-   * The longest delay, ms; longer for a burst, which is a queue that was empty a moment ago.
-   * After CoDel (Nichols, Jacobson, Controlling Queue Delay, ACM Queue 2012).
+   * The longest delay, ms; longer for the top class, and for a burst, which is a queue that was empty a moment ago.
+   * The latter after CoDel (Nichols, Jacobson, Controlling Queue Delay, ACM Queue 2012).
    */
-  private patienceMs(): number {
+  private patienceMs(isTop: boolean): number {
     const { clock, maxQueueMs } = this.options;
     const isBurst = clock.now() - this.lastEmptyAt < BURST_MS;
-    return isBurst ? maxQueueMs * BURST_PATIENCE : maxQueueMs;
+    return isTop || isBurst ? maxQueueMs * MORE_PATIENCE : maxQueueMs;
   }
 
   private topCount(): number {
@@ -215,8 +225,7 @@
   private tick(): void {
     const { clock } = this.options;
     const now = clock.now();
-    const oldestMs = 2 * this.patienceMs();
-    const isOld = ({ level, since }: Waiter) => now - since > oldestMs * (level < 1 ? TOP_PATIENCE : 1);
+    const isOld = ({ level, since }: Waiter) => now - since > 2 * this.patienceMs(level < 1);
     for (const waiter of this.queue.filter(isOld)) {
       this.queue.splice(this.queue.indexOf(waiter), 1);
       this.refuse(waiter);
--- a/packages/bench/src/chain.ts
+++ b/packages/bench/src/chain.ts
@@ -8,13 +8,19 @@
 export type ChainClass = (typeof CLASSES)[number];
 
 const DOMAINS = ['domain-a', 'domain-b', 'domain-c'];
-const UPSTREAMS = 3;
 const TIMEOUT_MS = 4000;
 const UPPER = { slots: 64, serviceMs: 8 };
 const BOTTLENECK = { slots: 8, serviceMs: 160 };
 
-/** Requests a second that the bottleneck can answer. */
-export const CHAIN_CAPACITY = (UPSTREAMS * BOTTLENECK.slots * 1000) / BOTTLENECK.serviceMs;
+/** Upstreams of each service: fewer in a deep chain, so that the machine's processors are not what is short. */
+function upstreamsAt(depth: number): number {
+  return depth > 5 ? 2 : 3;
+}
+
+/** Requests a second that the bottleneck of a chain can answer. */
+export function chainCapacity(depth: number): number {
+  return (upstreamsAt(depth) * BOTTLENECK.slots * 1000) / BOTTLENECK.serviceMs;
+}
 
 /** Name of the service at a depth, from 1. */
 export function serviceAt(depth: number): string {
@@ -46,13 +52,14 @@
   return checkOperatorFile(file);
 }
 
-/** The VMs of a chain: three of each service, one in each failure domain. */
+/** The VMs of a chain: each service has one in each of its failure domains. */
 export function chainNodes(depth: number): FleetOptions['nodes'] {
-  return Array.from({ length: depth * UPSTREAMS }, (_, i) => {
-    const at = Math.floor(i / UPSTREAMS) + 1;
+  const upstreams = upstreamsAt(depth);
+  return Array.from({ length: depth * upstreams }, (_, i) => {
+    const at = Math.floor(i / upstreams) + 1;
     return {
       service: serviceAt(at),
-      failureDomain: DOMAINS[i % DOMAINS.length] ?? '',
+      failureDomain: DOMAINS[i % upstreams] ?? '',
       behaviour: at === depth ? BOTTLENECK : UPPER,
     };
   });
--- a/packages/bench/src/experiments/index.ts
+++ b/packages/bench/src/experiments/index.ts
@@ -1,6 +1,7 @@
 /** The experiments by name. */
 import { type ExperimentResult, violationsOf } from '../results.js';
 import { type OverloadShape, VARIANTS, runOverload } from './overload.js';
+import { type FleetRun, runPartition, runRollingReplace } from './fleetRuns.js';
 import { runTruth } from './truth.js';
 
 /** One experiment. */
@@ -20,6 +21,8 @@
 }
 
 const MOST_TRIES = 4;
+/** Beyond this the figures tell of the machine. */
+const MOST_PROCESSOR_USE = 0.85;
 
 function overload(summary: string, shape: OverloadShape): Experiment {
   return {
@@ -30,6 +33,8 @@
         log(`Running ${name}, ${variant}.`);
         const figures = await runOverload(shape, variant, seed);
         result.variants[variant] = figures;
+        if ((figures.processorUse ?? 0) > MOST_PROCESSOR_USE)
+          log(`${variant}: the processor was short, not the upstreams.`);
         if (variant !== 'unprotected') result.violations.push(...violationsOf(variant, figures, MOST_TRIES));
       }
       return result;
@@ -54,6 +59,30 @@
   },
 };
 
+/** A run of a fleet, in which each part has to answer a share of its requests. */
+function fleetRun(
+  summary: string,
+  least: number,
+  run: (seed: string, seconds: number) => Promise<FleetRun>,
+): Experiment {
+  return {
+    summary,
+    run: async ({ name, seed, seconds, log }) => {
+      log(`Running ${name}.`);
+      const { figures, answered } = await run(seed, seconds);
+      const short = Object.entries(answered).filter(([, share]) => share < least);
+      const violations = short.map(([part, share]) => `${part} answered ${share.toFixed(4)}.`);
+      violations.push(...violationsOf('full', figures, MOST_TRIES));
+      return {
+        experiment: name,
+        seed,
+        variants: { full: { ...figures, answeredShare: answered } },
+        violations,
+      };
+    },
+  };
+}
+
 /** All of them. */
 export const experiments: Readonly<Record<string, Experiment>> = {
   steady: overload('85% load, nothing goes wrong', { depth: 3, demand: 0.85, slowFactor: 1, normal: 0.85 }),
@@ -70,6 +99,12 @@
   }),
   'slowdown-and-surge-7': overload('the same, seven deep', { depth: 7, demand: 1.5, slowFactor: 2 }),
   truth,
+  partition: fleetRun(
+    'one of three failure domains is cut off, and all from the platform',
+    0.95,
+    runPartition,
+  ),
+  'rolling-replace': fleetRun('every VM is replaced in turn under load', 1, runRollingReplace),
   'upstream-kill': overload('one of three upstreams of the deepest service is killed', {
     depth: 3,
     demand: 0.7,
--- a/packages/bench/src/experiments/overload.ts
+++ b/packages/bench/src/experiments/overload.ts
@@ -1,7 +1,7 @@
 /** Experiments of overload: normal load, a trigger, and the time after it, on a chain of services. */
 import { SystemClock, seededRandom } from '@cleatquay/clock';
 import { cpus } from 'node:os';
-import { CHAIN_CAPACITY, chainFile, chainNodes, serviceAt } from '../chain.js';
+import { chainCapacity, chainFile, chainNodes, serviceAt } from '../chain.js';
 import { Fleet, type FleetNode } from '../fleet.js';
 import { Load } from '../load.js';
 import {
@@ -64,14 +64,15 @@
   const bottleneck = fleet.nodes.filter(node => node.service === serviceAt(shape.depth));
   const urls = entries.map(node => `http://${node.addresses.caller}`);
   await using load = new Load(urls, clock, seededRandom(`${seed}-${variant}`), variant);
-  const normal = CHAIN_CAPACITY * (shape.normal ?? NORMAL_LOAD);
+  const fullCapacity = chainCapacity(shape.depth);
+  const normal = fullCapacity * (shape.normal ?? NORMAL_LOAD);
   load.rate = normal;
   load.start();
   await clock.sleep(WARM_UP_MS + BEFORE_MS);
   await fleet.resetWork();
   const usage = processorUse();
   const from = clock.now();
-  load.rate = CHAIN_CAPACITY * shape.demand;
+  load.rate = fullCapacity * shape.demand;
   await slowDown(fleet, bottleneck, shape.slowFactor);
   await shape.disturb?.(fleet, bottleneck);
   await clock.sleep(TRIGGER_MS);
@@ -83,7 +84,7 @@
   await clock.sleep(AFTER_MS);
   const end = clock.now();
   await load.stop();
-  const capacity = CHAIN_CAPACITY / shape.slowFactor;
+  const capacity = fullCapacity / shape.slowFactor;
   return { ...(await figures(fleet, load, trigger, end, capacity)), processorUse: used };
 }
 
@@ -102,6 +103,7 @@
   );
   const wasted = works.reduce((sum, work) => sum + work.wasted, 0);
   const useful = works.reduce((sum, work) => sum + work.useful, 0);
+  const invariantViolations = await fleet.invariantViolations();
   const first = fleet.nodes.filter(node => node.service === serviceAt(1));
   const ledgers = first.map(node => fleet.ledger(node));
   const shares = Object.keys(offered.byClass).map(name => {
@@ -118,6 +120,7 @@
     wastedWorkFraction: wasted / Math.max(1, useful + wasted),
     outcomes: outcomes(samples, settled, trigger.to),
     inversions: inversions(samples, { from: settled, to: trigger.to }),
+    invariantViolations,
     ...truth(samples, ledgers.flat()),
   };
 }
--- a/packages/bench/src/fleet.ts
+++ b/packages/bench/src/fleet.ts
@@ -167,6 +167,15 @@
     return getJson(`http://${node.upstreamAddress}/_work`);
   }
 
+  /** Invariants that the daemons that are up found broken, all together. */
+  async invariantViolations(): Promise<number> {
+    const counts = this.nodes.map(async ({ addresses }) => {
+      const text = await getText(`http://${addresses.operator}/metrics`);
+      return Number(/^cleatquay_invariant_violations (.+)$/m.exec(text)?.[1] ?? Number.NaN);
+    });
+    return (await Promise.all(counts)).reduce((sum, count) => sum + count, 0);
+  }
+
   /** Changes how an upstream behaves. */
   async behave(node: FleetNode, behaviour: Partial<UpstreamBehaviour>): Promise<void> {
     await post(`http://${node.upstreamAddress}/_behaviour`, behaviour);
@@ -203,9 +212,13 @@
   }
 }
 
-async function getJson<T>(url: string): Promise<T> {
+async function getText(url: string): Promise<string> {
   const answer = await request(url);
-  return (await answer.body.json()) as T;
+  return answer.body.text();
+}
+
+async function getJson<T>(url: string): Promise<T> {
+  return JSON.parse(await getText(url)) as T;
 }
 
 async function post(url: string, body: unknown): Promise<void> {
--- a/packages/bench/src/results.ts
+++ b/packages/bench/src/results.ts
@@ -28,6 +28,8 @@
   processorUse?: number;
   /** Seconds in which a class was refused while a less important one was answered at a higher share. */
   inversions?: number;
+  /** Found by the daemons themselves. */
+  invariantViolations?: number;
   /** Answers for which the ledgers show no effect. */
   answeredWithoutEffect?: number;
   /** How often each fault was caused. */
@@ -54,6 +56,7 @@
   'incompleteAnswers',
   'mismatchedAnswers',
   'answeredWithoutEffect',
+  'invariantViolations',
 ] as const;
 const BUCKET_MS = 500;
 const NORMAL = 0.95;
--- a/packages/calls/src/home.ts
+++ b/packages/calls/src/home.ts
@@ -3,7 +3,7 @@
  * ended until the id expires. A resend joins the running request or gets the same answer.
  */
 import { type Clock, NOT_NEEDED } from '@cleatquay/clock';
-import { type Outcome } from '@cleatquay/errors';
+import { type Outcome, invariant } from '@cleatquay/errors';
 import { type AnswerPart, type Refusal, endOf, refusalOf } from '@cleatquay/protocol';
 import { AnswerRecorder, type RecordedAnswer, replay } from './answers.js';
 
@@ -80,6 +80,7 @@
     const ended = this.hasRoom ? this.run(start) : Promise.resolve(full());
     const record: HomeRecord = { ending: undefined, ended };
     void ended.then(ending => {
+      invariant(record.ending === undefined, 'Home: a request ended twice.');
       record.ending = ending;
       if (ending.kind === 'answered') this.answerBytes += ending.answer.body.length;
       this.clock.after(lifetimeMs, () => this.forget(id, ending));
--- a/packages/calls/src/runningCalls.ts
+++ b/packages/calls/src/runningCalls.ts
@@ -1,4 +1,5 @@
 /** The requests that run on the upstream beside this daemon: what their calls further down inherit. */
+import { invariant } from '@cleatquay/errors';
 import { type CallContext } from '@cleatquay/protocol';
 import { type Route } from '@cleatquay/settings';
 
@@ -29,6 +30,7 @@
   /** Gives unused tokens back; ones that got lost stay spent. */
   returnTokens(unused: number): void {
     this.retryTokens += unused;
+    invariant(this.retryTokens <= this.context.retryTokens, 'Calls: retry tokens came from nowhere.');
   }
 
   /** Id of a call below: the same for the same key, so that a repeat is known for one. */
--- a/packages/configuration/src/configuration.ts
+++ b/packages/configuration/src/configuration.ts
@@ -1,5 +1,6 @@
 /** The configuration that one daemon has in force. It only ever moves to higher generations. */
 import { type Clock } from '@cleatquay/clock';
+import { invariant } from '@cleatquay/errors';
 import { type ConfigurationAnswer, type Section } from '@cleatquay/protocol';
 import { CallGraph } from '@cleatquay/settings';
 import { type AppliedVersion } from './configurationStore.js';
@@ -41,6 +42,7 @@
   adopt(version: AppliedVersion): boolean {
     if (version.generation <= this.generation) return false;
     this.compiled = new CallGraph(joinSections(version.sections));
+    invariant(version.generation > this.generation, 'Configuration: a generation went back.');
     this.version = version;
     this.adopted = this.clock.date();
     this.onChange(version.generation);
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -15,6 +15,7 @@
 } from '@cleatquay/calls';
 import { type Clock, type Random } from '@cleatquay/clock';
 import { Configuration, ConfigurationSpread, ConfigurationStore } from '@cleatquay/configuration';
+import { invariantViolations } from '@cleatquay/errors';
 import { Membership, UdpDatagrams } from '@cleatquay/membership';
 import { HttpPlatform } from '@cleatquay/platform';
 import { type Member, type RequestHead, type SealAnswer, type SealRequest } from '@cleatquay/protocol';
@@ -231,6 +232,7 @@
         peers: this.peers.addresses,
       },
       membership: this.membership.dump(),
+      invariantViolations,
       memory: process.memoryUsage(),
     };
   }
@@ -362,6 +364,12 @@
       () => this.configuration.generation,
     );
     metrics.gauge('cleatquay_requests_in_flight', 'Requests of callers in flight', () => this.inFlight.size);
+    const violations = () => invariantViolations.count;
+    metrics.gauge(
+      'cleatquay_invariant_violations',
+      'Broken invariants of this process; see the dump',
+      violations,
+    );
     const { traffic } = membership;
     metrics.gauge('cleatquay_gossip_received_bytes', 'Bytes of gossip received', () => traffic.receivedBytes);
     const { state } = this.spread;
--- a/packages/routing/src/peerStatistics.ts
+++ b/packages/routing/src/peerStatistics.ts
@@ -3,6 +3,7 @@
 import { type Load } from '@cleatquay/protocol';
 
 const LATENCY_WEIGHT = 0.1;
+const TELLING_OUTSTANDING = 3;
 const REPORT_HALF_LIFE_MS = 200;
 const FIRST_BACKOFF_MS = 250;
 const LONGEST_BACKOFF_MS = 5000;
@@ -24,15 +25,26 @@
   samples = 0;
   private load: Load | undefined;
   private loadAt = 0;
+  private startTimes = 0;
   private backoffMs = 0;
   private avoidUntil = 0;
   private readonly levels = new Map<string, HeardLevel>();
 
   constructor(private readonly clock: Clock) {}
 
-  /** A call ended after `ms`. */
-  ended(result: CallResult, ms: number): void {
+  /** A call starts; gives the time of its start for `ended`. */
+  started(): number {
+    const now = this.clock.now();
+    this.outstanding++;
+    this.startTimes += now;
+    return now;
+  }
+
+  /** The call that started at `start` ended. */
+  ended(result: CallResult, start: number): void {
     this.outstanding--;
+    this.startTimes -= start;
+    const ms = this.clock.now() - start;
     if (result === 'unreachable') return this.backOff();
     this.backoffMs = 0;
     this.avoidUntil = 0;
@@ -49,6 +61,16 @@
     this.levels.set(route, { level: load.admissionLevel, at: this.loadAt });
   }
 
+  /**
+   * How slow it is, ms: its mean latency, or the mean age of the calls that it has, whichever is worse. Their age tells
+   * of a sudden slowness long before the first of them ends.
+   */
+  slownessMs(): number {
+    if (this.outstanding < TELLING_OUTSTANDING) return this.latencyMs;
+    const meanAge = this.clock.now() - this.startTimes / this.outstanding;
+    return Math.max(this.latencyMs, meanAge);
+  }
+
   /** Whether it was out of reach a moment ago. */
   get isAvoided(): boolean {
     return this.clock.now() < this.avoidUntil;
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -47,7 +47,7 @@
     if (subset.near.length + subset.far.length === 0) return { kind: 'none' };
     const untried = [...subset.near, ...subset.far].filter(candidate => !tried.has(candidate.address));
     if (untried.length === 0) return { kind: 'none' };
-    const usable = this.withoutGray(this.reachable(untried));
+    const usable = this.withoutGray(this.reachable(untried), level);
     const near = usable.filter(candidate => candidate.failureDomain === this.options.failureDomain);
     const far = usable.filter(candidate => candidate.failureDomain !== this.options.failureDomain);
     const admits = (c: Candidate) => this.statisticsOf(c.address).levelFor(route) > level;
@@ -68,9 +68,8 @@
   /** A call to the candidate starts; call the result when it has ended. */
   started(address: string): (result: CallResult) => void {
     const statistics = this.statisticsOf(address);
-    const start = this.options.clock.now();
-    statistics.outstanding++;
-    return result => statistics.ended(result, this.options.clock.now() - start);
+    const start = statistics.started();
+    return result => statistics.ended(result, start);
   }
 
   /** The candidate told its load. */
@@ -116,19 +115,20 @@
   }
 
   /**
-   * Leaves out those far slower than the median of all, near and far, but for a trickle that finds out when they are
-   * well again. Whatever is as fast as the median stays, so that the larger half always does.
+   * Leaves out those far slower than the median of all, near and far, but for a trickle of the lower classes that
+   * finds out when they are well again. Whatever is as fast as the median stays, so that the larger half always does.
    */
-  private withoutGray(candidates: Candidate[]): Candidate[] {
-    if (candidates.length < 3 || this.options.random() < GRAY_TRICKLE) return candidates;
+  private withoutGray(candidates: Candidate[], level: number): Candidate[] {
+    const isTrickle = level >= 1 && this.options.random() < GRAY_TRICKLE;
+    if (candidates.length < 3 || isTrickle) return candidates;
     const measured = candidates.map(c => this.statisticsOf(c.address)).filter(s => s.samples >= GRAY_SAMPLES);
-    const latencies = measured.map(s => s.latencyMs).sort((a, b) => a - b);
+    const latencies = measured.map(s => s.slownessMs()).sort((a, b) => a - b);
     const median = latencies[Math.floor((latencies.length - 1) / 2)];
     if (median === undefined) return candidates;
     const bound = median * GRAY_FACTOR;
     return candidates.filter(c => {
-      const { samples, latencyMs } = this.statisticsOf(c.address);
-      return samples < GRAY_SAMPLES || latencyMs <= bound;
+      const statistics = this.statisticsOf(c.address);
+      return statistics.samples < GRAY_SAMPLES || statistics.slownessMs() <= bound;
     });
   }
 
