Keep an operator's limit in force, and take the classes from the configuration in force

Causes, found by reading the change once more:

An upstream's first renewal, a second after its announcement, put its own claim in place of the operator's `slots`; and a change of `slots` or `maxQueueMs` reached an upstream only when it started anew, against the promise that an accepted configuration is in force within seconds. An upstream that announced itself before its daemon had a configuration was taken to have one class, so that all lower classes would have been refused early. Now the number of classes is asked for each time.

Change: the limit is worked out at every renewal; queue delay and classes are functions of the configuration in force.

--- a/packages/admission/src/admission.ts
+++ b/packages/admission/src/admission.ts
@@ -27,11 +27,11 @@
 export interface AdmissionOptions {
   readonly clock: Clock;
   readonly random: Random;
-  /** Number of classes in the configuration. */
-  readonly classes: number;
+  /** Number of classes in the configuration; asked each time, since the configuration may come later. */
+  readonly classes: () => number;
   readonly slots: number;
-  /** Longest standing delay of the queue, ms. */
-  readonly maxQueueMs: number;
+  /** Longest standing delay of the queue, ms; asked each time, since the configuration may change. */
+  readonly maxQueueMs: () => number;
   /** True for an upstream that was not seen before: it gets a slow start. */
   readonly cold: boolean;
 }
@@ -178,7 +178,7 @@
   private patienceMs(isTop: boolean): number {
     const { clock, maxQueueMs } = this.options;
     const isBurst = clock.now() - this.lastEmptyAt < BURST_MS;
-    return isTop || isBurst ? maxQueueMs * MORE_PATIENCE : maxQueueMs;
+    return maxQueueMs() * (isTop || isBurst ? MORE_PATIENCE : 1);
   }
 
   private topCount(): number {
--- a/packages/daemon/src/upstreams.ts
+++ b/packages/daemon/src/upstreams.ts
@@ -119,18 +119,12 @@
 
   private add(announcement: Announcement): void {
     const { clock, random, protection, file } = this.options;
-    const service = file()?.services[announcement.service];
-    const slots = Math.min(
-      announcement.slots,
-      service?.slots ?? announcement.slots,
-      announcement.connections,
-    );
     const admission = new Admission({
       clock,
       random,
-      classes: file()?.classes.length ?? 1,
-      slots: protection ? slots : UNLIMITED_SLOTS,
-      maxQueueMs: service?.maxQueueMs ?? DEFAULT_QUEUE_MS,
+      classes: () => file()?.classes.length ?? MOST_CLASSES,
+      slots: this.slotsOf(announcement),
+      maxQueueMs: () => file()?.services[announcement.service]?.maxQueueMs ?? DEFAULT_QUEUE_MS,
       cold: protection,
     });
     const connections = new Pool(`http://${announcement.address}`, {
@@ -160,12 +154,19 @@
     known.silence[Symbol.dispose]();
     known.silence = this.watch(announcement.service);
     const isDraining = known.drainedByOperator || announcement.state === 'draining';
-    if (this.options.protection) known.admission.limit.announce(announcement.slots);
+    known.admission.limit.announce(this.slotsOf(announcement));
     if (isDraining === known.isDraining) return;
     known.isDraining = isDraining;
     this.changed();
   }
 
+  /** What it announces, bounded by the configuration in force and by its connections. */
+  private slotsOf({ service, slots, connections }: Announcement): number {
+    const { protection, file } = this.options;
+    if (!protection) return UNLIMITED_SLOTS;
+    return Math.min(slots, file()?.services[service]?.slots ?? slots, connections);
+  }
+
   private watch(service: string): Timer {
     return this.options.clock.after(SILENT_AFTER_MS, () => {
       const upstream = this.byService.get(service);
@@ -201,6 +202,8 @@
 }
 
 const DEFAULT_QUEUE_MS = 50;
+/** As many as an operators' file may have: what counts before there is one. */
+const MOST_CLASSES = 16;
 /** Stands for no limit on the plain path. */
 const UNLIMITED_SLOTS = 1_000_000;
 
--- a/tests/admission.spec.ts
+++ b/tests/admission.spec.ts
@@ -11,7 +11,14 @@
 const FAR_MS = 60_000;
 
 function admission(clock: ManualClock, slots: number): Admission {
-  return new Admission({ clock, random: () => 0.5, classes: CLASSES, slots, maxQueueMs: 50, cold: false });
+  return new Admission({
+    clock,
+    random: () => 0.5,
+    classes: () => CLASSES,
+    slots,
+    maxQueueMs: () => 50,
+    cold: false,
+  });
 }
 
 const settle = () => new Promise(resolve => setImmediate(resolve));
@@ -104,6 +111,19 @@
     });
   });
 
+  it('is open to every class before and after a configuration comes', () => {
+    let classes = 16;
+    const clock = new ManualClock();
+    const options = { clock, random: () => 0.5, slots: 1, maxQueueMs: () => 50, cold: false };
+    using gate = new Admission({ ...options, classes: () => classes });
+    expect(gate.load().admissionLevel).to.equal(16);
+    clock.advance(100);
+    classes = 3;
+    expect(gate.load().admissionLevel).to.equal(3);
+    classes = 5;
+    expect(gate.load().admissionLevel).to.equal(5);
+  });
+
   describe('the limit', () => {
     it('stays between 1 and the announced slots, whatever the upstream sheds or answers', () => {
       fc.assert(
--- /dev/null
+++ b/tests/limits.spec.ts
@@ -0,0 +1,40 @@
+import { SystemClock } from '@cleatquay/clock';
+import { type Fleet, deployments, fileOf } from '@cleatquay/bench';
+import { ConfigurationStore } from '@cleatquay/configuration';
+import { HttpPlatform } from '@cleatquay/platform';
+import { expect } from 'chai';
+import { smallFleet } from './fixtures/smallFleet.js';
+
+const IN_FORCE_MS = 4000;
+const pause = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
+
+describe("an operator's limit", () => {
+  let fleet: Fleet;
+
+  before(async () => {
+    fleet = await smallFleet([['alarms', 'regina-a']], file => (file.services.alarms!.slots = 2));
+  });
+
+  after(() => fleet[Symbol.asyncDispose]());
+
+  const limitAfterCalls = async () => {
+    for (let i = 0; i < 40; i++) await (await fetch(`${fleet.callerUrls[0]!}/alarms/alarms/7`)).text();
+    const status = await fetch(`http://${fleet.nodes[0]!.addresses.operator}/status`);
+    const { upstreams } = (await status.json()) as { upstreams: { load: { limit: number } }[] };
+    return upstreams[0]?.load.limit;
+  };
+
+  it('holds for an upstream that announces more, also after it renewed its announcement', async () => {
+    await pause(IN_FORCE_MS);
+    expect(await limitAfterCalls()).to.equal(2);
+  });
+
+  it('is in force within seconds of its change, without a new start of the upstream', async () => {
+    await using platform = new HttpPlatform(fleet.platformUrl);
+    const file = structuredClone(fileOf(deployments.frostline!));
+    file.services.alarms!.slots = 5;
+    await new ConfigurationStore(platform, new SystemClock()).apply(file);
+    await pause(IN_FORCE_MS);
+    expect(await limitAfterCalls()).to.equal(5);
+  });
+});
