Say "not run" only when no earlier try may have run

An idempotent request whose first try lost contact, or broke off, and whose last try was refused, was told "not run": the refusal was true of the last try only. The same held for an idempotent request sent again under its caller's id, and for the caller library's own resends without an id.

Change: a last refusal is "unknown" once an earlier try may have run; the entry and the caller library do likewise.

Measured: a new property failed first (tries refuse, lose, refuse: told "not run") and passes.

--- a/packages/bench/src/mixedLoad.ts
+++ b/packages/bench/src/mixedLoad.ts
@@ -65,7 +65,7 @@
   const runsById = new Map<string, number>();
   for (const { token, route, done, requestId } of ledger) {
     runsById.set(requestId, (runsById.get(requestId) ?? 0) + 1);
-    if (route !== 'receiving.confirm') continue;
+    if (route !== 'receiving.confirm' && route !== 'history.read') continue;
     const known = runs.get(token) ?? { started: 0, done: 0 };
     runs.set(token, { started: known.started + 1, done: known.done + (done ? 1 : 0) });
   }
@@ -83,7 +83,7 @@
     },
     outcomes: outcomesOf(asked),
     triesPerRequestMax: Math.max(0, ...runsById.values()),
-    notRunButRan: confirmations.filter(a => a.result.outcome === 'not-run' && runsOf(a).started > 0).length,
+    notRunButRan: asked.filter(a => a.result.outcome === 'not-run' && runsOf(a).started > 0).length,
     doubleEffects: confirmations.filter(a => runsOf(a).done > 1).length,
     answeredWithoutEffect: confirmed.filter(a => runsOf(a).done === 0).length,
     incompleteAnswers: answered.filter(a => a.body?.children?.length !== 1).length,
--- a/packages/bench/src/results.ts
+++ b/packages/bench/src/results.ts
@@ -58,7 +58,7 @@
   'answeredWithoutEffect',
   'invariantViolations',
 ] as const;
-const BUCKET_MS = 500;
+const RECOVERY_STEP_MS = 250;
 const NORMAL = 0.95;
 const SETTLE_MS = 1000;
 const INVERSION_MARGIN = 0.1;
@@ -83,24 +83,13 @@
   return counted;
 }
 
-/** Goodput by time of answer, in buckets of half a second. */
-export function goodputOverTime(samples: readonly Sample[], from: number, to: number): number[] {
-  const buckets = new Array<number>(Math.ceil((to - from) / BUCKET_MS)).fill(0);
-  for (const sample of samples) {
-    const bucket = Math.floor((sample.at + sample.ms - from) / BUCKET_MS);
-    const count = buckets[bucket];
-    if (sample.whole && count !== undefined) buckets[bucket] = count + 1;
-  }
-  return buckets.map(count => (count * 1000) / BUCKET_MS);
-}
-
 /** Seconds from the trigger's end until the share of answered requests is normal for a second on end; -1 for never. */
 export function recoverySeconds(samples: readonly Sample[], trigger: Trigger, end: number): number {
   const share = (from: number, to: number) => {
     const due = samples.filter(s => s.at >= from && s.at < to);
     return due.length === 0 ? 1 : due.filter(s => s.whole).length / due.length;
   };
-  for (let at = trigger.to; at + SETTLE_MS <= end; at += BUCKET_MS / 2) {
+  for (let at = trigger.to; at + SETTLE_MS <= end; at += RECOVERY_STEP_MS) {
     if (share(at, at + SETTLE_MS) >= NORMAL && share(at, end) >= NORMAL) return (at - trigger.to) / 1000;
   }
   return -1;
--- a/packages/caller/src/caller.ts
+++ b/packages/caller/src/caller.ts
@@ -60,6 +60,7 @@
     const requestId = call.idempotent ? undefined : await this.takeId(call.timeoutMs);
     if (!call.idempotent && requestId === undefined) return { ...NO_DAEMON, outcome: 'not-run' };
     let result: CallerResult = NO_DAEMON;
+    let mayHaveRun = false;
     for (let sends = 1; sends <= RESENDS && clock.now() < end; sends++) {
       const pool = this.pools[(sends - 1) % this.pools.length];
       if (!pool) break;
@@ -67,7 +68,10 @@
       const patienceMs = Math.min(remainingMs, Math.max(SHORTEST_SEND_MS, remainingMs / 2));
       const attempted = await this.attempt(pool, call, requestId, remainingMs, patienceMs);
       result = { ...attempted, requestId, sends };
+      if (result.outcome === 'not-run' && mayHaveRun) return { ...result, outcome: 'unknown' };
       if (result.outcome !== 'unknown') return result;
+      // Under an id the daemons know of earlier sends; without one nobody does.
+      mayHaveRun = requestId === undefined;
       await clock.sleep(RESEND_PAUSE_MS * sends * (0.5 + random()));
     }
     return result;
--- a/packages/calls/src/entry.ts
+++ b/packages/calls/src/entry.ts
@@ -196,7 +196,9 @@
     if (route.idempotent) {
       const context = this.rootContext(route, request.requestId ?? ids.issue(lifetimeMs), request.timeoutMs);
       request.onRequestId?.(context.requestId);
-      yield* forwarder.forward(route, headOf(request, context), context, body, signal);
+      for await (const part of forwarder.forward(route, headOf(request, context), context, body, signal)) {
+        yield part.refusal ? { ...part, refusal: this.truthful(request, part.refusal) } : part;
+      }
       return;
     }
     await body.prepare();
--- a/packages/calls/src/forwarder.ts
+++ b/packages/calls/src/forwarder.ts
@@ -66,11 +66,13 @@
     const tried = new Set<string>();
     let tokens = context.retryTokens;
     let last: RefusedTry | undefined;
+    let mayHaveRun = false;
     for (let number = context.try; ; number++) {
       const remainingMs = Math.floor(context.remainingMs - (clock.now() - start));
       const selection = router.choose(route.service, route.name, level, tried);
       if (selection.kind !== 'chosen' || remainingMs <= 0) {
-        yield endOf(last?.refusal ?? this.withoutUpstream(selection.kind, remainingMs), tokens, last?.load);
+        const refusal = last?.refusal ?? this.withoutUpstream(selection.kind, remainingMs);
+        yield endOf(asLastOf(refusal, mayHaveRun), tokens, last?.load);
         return;
       }
       const { candidate } = selection;
@@ -96,9 +98,10 @@
       });
       if (!last) return;
       tokens = kept + last.unusedRetryTokens;
+      mayHaveRun ||= last.refusal.outcome !== 'not-run';
       tried.add(candidate.address);
       if (!this.mayRetry(route, last.refusal, tokens, body, signal)) {
-        yield endOf(last.refusal, tokens, last.load);
+        yield endOf(asLastOf(last.refusal, mayHaveRun), tokens, last.load);
         return;
       }
       tokens--;
@@ -244,3 +247,8 @@
     });
   }
 }
+
+/** A last try that ran nowhere says nothing of the tries before it. */
+function asLastOf(refusal: Refusal, mayHaveRun: boolean): Refusal {
+  return mayHaveRun && refusal.outcome === 'not-run' ? { ...refusal, outcome: 'unknown' } : refusal;
+}
--- a/tests/retryBudget.spec.ts
+++ b/tests/retryBudget.spec.ts
@@ -149,6 +149,19 @@
     );
   });
 
+  it('never ends in "not run" when one of the tries may have run', async () => {
+    const fate = fc.constantFrom<Fate>('refuse', 'break', 'lose');
+    await fc.assert(
+      fc.asyncProperty(fc.array(fate, { minLength: 1, maxLength: 6 }), async fates => {
+        const chain = new Chain(1, 1, fates);
+        const last = await chain.run(3);
+        const tried = Array.from({ length: chain.tries }, (_, i) => fates[i % fates.length]);
+        const ranNowhere = tried.every(f => f === 'refuse');
+        expect(last?.refusal?.outcome === 'not-run', tried.join(', ')).to.equal(ranNowhere);
+      }),
+    );
+  });
+
   it('is there to be used: a call refused by one upstream is answered by another', async () => {
     const chain = new Chain(3, 1, ['answer', 'refuse', 'answer', 'answer']);
     const last = await chain.run(3);
