Give calls the importance of their requests, find cut-off peers sooner, write decisions to the log

(1) Calls of an upstream had the class of their route, so that a refusal at the bottom hit paid-for and fresh work alike. (4) Nothing told why a request failed once the process was gone. (5) A start compiled all of its code again.

An upstream is handed what is left after the queue. Queues follow the shortest target latency of their service.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -28,4 +28,12 @@
     files: ['**/*.js', '**/*.mjs'],
     languageOptions: { globals: { process: 'readonly', console: 'readonly', URL: 'readonly' } },
   },
+  {
+    files: ['**/*.cjs'],
+    languageOptions: {
+      sourceType: 'commonjs',
+      globals: { process: 'readonly', setTimeout: 'readonly', __dirname: 'readonly' },
+    },
+    rules: { '@typescript-eslint/no-require-imports': 'off' },
+  },
 );
--- a/packages/calls/src/forwarder.ts
+++ b/packages/calls/src/forwarder.ts
@@ -70,7 +70,7 @@
     body: ReplayBody,
     signal: CancelSignal,
   ): Promise<CallAnswer> {
-    const { clock, router, retries, freeMoves } = this.options;
+    const { clock, router, retries, freeMoves, journal } = this.options;
     const start = clock.now();
     retries.requested(route.service);
     const level = levelOf(context.class, context.rootId);
@@ -89,7 +89,13 @@
       const handed = Math.ceil(tokens / 2);
       const kept = tokens - handed;
       const next = this.contextOf(context, number, remainingMs, handed, candidate);
-      this.options.journal.note(context.requestId, `Try ${String(number)} goes to ${candidate.address}.`);
+      journal.note(context.requestId, 'Sent to an upstream.', {
+        try: number,
+        to: candidate.address,
+        failureDomain: candidate.failureDomain,
+        remainingMs,
+        ...router.knownOf(candidate),
+      });
       const result = await this.attempt({
         route,
         head: { ...head, context: next },
@@ -103,6 +109,11 @@
       last = result;
       tokens = kept + last.unusedRetryTokens;
       mayHaveRun ||= last.refusal.outcome !== 'not-run';
+      journal.note(context.requestId, 'The try was refused or failed.', {
+        result: resultByCode(last.refusal.code),
+        outcome: last.refusal.outcome,
+        why: last.refusal.message,
+      });
       tried.add(candidate.address);
       const isMove = !reachedUpstream(last.refusal) && moves < freeMoves;
       const usable = isMove ? Infinity : tokens;
@@ -160,7 +171,10 @@
       const isLost = error instanceof LostContact;
       finish(isLost && !limited.signal.aborted ? 'unreachable' : 'failed');
       if (!isLost) throw error;
-      this.options.journal.note(attempt.context.requestId, `Contact lost: ${error.message}`);
+      this.options.journal.note(attempt.context.requestId, 'Contact with the upstream was lost.', {
+        why: error.message,
+        wasSent: !error.neverSent,
+      });
       return this.afterLostContact(attempt, error);
     }
   }
@@ -221,7 +235,7 @@
       const answer = await peers
         .seal(attempt.candidate.address, request, SEAL_TIMEOUT_MS)
         .catch(() => undefined);
-      if (answer) journal.note(requestId, `Seal: ${answer.state}.`);
+      if (answer) journal.note(requestId, 'Asked how the lost try went.', { state: answer.state });
       if (answer && answer.state !== 'RUNNING') return answer;
       await clock.sleep(SEAL_PAUSE_MS, signal);
     }
--- a/packages/calls/src/index.ts
+++ b/packages/calls/src/index.ts
@@ -1,4 +1,5 @@
 /** One client request through the daemons: deadlines, retries, at most once, and what its caller is told. */
+export { BodyCheck } from './answers.js';
 export {
   type CallAnswer,
   type CallBody,
@@ -22,9 +23,9 @@
 } from './headers.js';
 export { Home } from './home.js';
 export { type InnerHandlers, InnerServer } from './innerServer.js';
-export { type Decision, Journal } from './journal.js';
+export { type Decision, type DecisionSink, type Facts, Journal } from './journal.js';
 export { LostContact } from './lostContact.js';
-export { Peers } from './peers.js';
+export { type Contact, Peers } from './peers.js';
 export { ReplayBody } from './replayBody.js';
 export { type RequestId, RequestIds, parseRequestId } from './requestId.js';
 export { RetryAllowance, type RetryBudget } from './retryAllowance.js';
@@ -40,3 +41,4 @@
 export { type AnswerMeaning, type UpstreamDialect, ownDialect } from './upstreamDialect.js';
 export { type FleetRetryBounds, FleetRetryBudget } from './fleetRetryBudget.js';
 export { Relay, type RelayOptions, type RelayedRequest } from './relay.js';
+export { type CalledRoute, LearnedCalls } from './learnedCalls.js';
--- a/packages/calls/src/innerServer.ts
+++ b/packages/calls/src/innerServer.ts
@@ -20,7 +20,13 @@
 
 /** Serves peers until disposed of. */
 export class InnerServer implements AsyncDisposable {
-  private readonly server = new Server({ 'grpc.max_receive_message_length': 4 * 1_048_576 });
+  private readonly server = new Server({
+    'grpc.max_receive_message_length': 4 * 1_048_576,
+    'grpc-node.flow_control_window': 1_048_576,
+    // Ends connections of peers that were cut off and have made new ones since.
+    'grpc.keepalive_time_ms': 10_000,
+    'grpc.keepalive_timeout_ms': 5000,
+  });
 
   constructor(private readonly handlers: InnerHandlers) {
     this.server.addService(InnerService, {
--- a/packages/calls/src/peers.ts
+++ b/packages/calls/src/peers.ts
@@ -1,5 +1,5 @@
 /** The other daemons, over gRPC: one client for each, made when first needed. */
-import { type CancelSignal, type Clock } from '@cleatquay/clock';
+import { type CancelSignal, Cancellation, type Clock, NOT_NEEDED } from '@cleatquay/clock';
 import {
   type ConfigurationAnswer,
   InnerClient,
@@ -12,7 +12,12 @@
 import { Link } from './link.js';
 import { LostContact } from './lostContact.js';
 
+/** Bytes under way on a link before HTTP/2 holds the sender back: a few answers of 64 KiB. */
+const LINK_WINDOW_BYTES = 1_048_576;
 const OPTIONS = {
+  // A try is repeated by the forwarder or not at all; gRPC's own retries would also buffer what a link carries.
+  'grpc.enable_retries': 0,
+  'grpc-node.flow_control_window': LINK_WINDOW_BYTES,
   'grpc.client_idle_timeout_ms': 60_000,
   'grpc.initial_reconnect_backoff_ms': 100,
   'grpc.max_reconnect_backoff_ms': 2000,
@@ -23,10 +28,21 @@
 const CONFIGURATION_TIMEOUT_MS = 2000;
 const NO_CONNECTION = 'No connection established';
 
+/** Pause between looks whether a peer that was lost is back, ms. */
+const RETURN_PAUSE_MS = 200;
+/** A failure domain is taken for silent when so many of its peers are, and none was heard meanwhile. */
+const TELLING_PEERS = 2;
+const DOMAIN_HEARD_MS = 300;
+
+/** Whether a peer can be expected to answer. */
+export type Contact = 'good' | 'silent' | 'lost';
+
 /** Clients of peers. */
 export class Peers implements Disposable {
+  private isClosed = false;
   private readonly clients = new Map<string, InnerClient>();
   private readonly links = new Map<string, Link>();
+  private readonly lost = new Map<string, Cancellation>();
 
   constructor(
     private readonly clock: Clock,
@@ -42,12 +58,30 @@
     signal: CancelSignal,
   ): Promise<CallAnswer> {
     if (this.isCut(address)) throw new LostContact(`${address} is cut off.`, true);
-    const link = this.links.get(address) ?? (await this.connect(address));
+    const link = this.links.get(address) ?? (await this.connectOrWatch(address));
     const answer = await link.exchange(head, body, signal);
     if (this.isCut(address)) throw new LostContact(`${address} was cut off.`, false);
     return answer;
   }
 
+  /** Whether a peer can be expected to answer. */
+  contact(address: string): Contact {
+    if (this.lost.has(address)) return 'lost';
+    return this.links.get(address)?.isSilent === true ? 'silent' : 'good';
+  }
+
+  /** Whether some of these peers owe answers, and none of them has been heard for a while: their domain is cut off. */
+  areCutOff(addresses: readonly string[]): boolean {
+    const heardSince = this.clock.now() - DOMAIN_HEARD_MS;
+    let mute = 0;
+    for (const address of addresses) {
+      const isMute = this.contact(address) !== 'good';
+      if (isMute) mute++;
+      else if ((this.links.get(address)?.lastHeardAt ?? 0) > heardSince) return false;
+    }
+    return mute >= TELLING_PEERS;
+  }
+
   /** Asks a peer to seal a try. */
   async seal(address: string, request: SealRequest, timeoutMs: number): Promise<SealAnswer> {
     if (this.isCut(address)) throw new LostContact(`${address} is cut off.`, true);
@@ -79,6 +113,7 @@
 
   /** Closes the client of a peer that is gone for good. */
   forget(address: string): void {
+    this.lost.get(address)?.abort(NOT_NEEDED);
     this.links.get(address)?.fail('is gone');
     this.closeClient(address);
   }
@@ -89,10 +124,42 @@
   }
 
   [Symbol.dispose](): void {
+    this.isClosed = true;
+    for (const watch of this.lost.values()) watch.abort(NOT_NEEDED);
     for (const link of [...this.links.values()]) link.fail('is not needed any more');
     for (const address of this.addresses) this.closeClient(address);
   }
 
+  private async connectOrWatch(address: string): Promise<Link> {
+    try {
+      return await this.connect(address);
+    } catch (error) {
+      this.watchReturn(address);
+      throw error;
+    }
+  }
+
+  /** Looks in the background whether a lost peer is back, so that no call has to find out. */
+  private watchReturn(address: string): void {
+    if (this.lost.has(address) || this.isClosed) return;
+    const watch = new Cancellation();
+    this.lost.set(address, watch);
+    void this.untilBack(address, watch.signal).finally(() => this.lost.delete(address));
+  }
+
+  private async untilBack(address: string, signal: CancelSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.clock.sleep(RETURN_PAUSE_MS, signal);
+      if (signal.aborted || this.isCut(address)) continue;
+      const isBack = await this.connected(address).then(
+        () => true,
+        () => false,
+      );
+      if (isBack) return;
+      this.closeClient(address);
+    }
+  }
+
   private closeClient(address: string): void {
     this.clients.get(address)?.close();
     this.clients.delete(address);
@@ -106,6 +173,7 @@
     const link = new Link(this.clock, address, this.client(address).link(), () => {
       this.links.delete(address);
       this.closeClient(address);
+      this.watchReturn(address);
     });
     this.links.set(address, link);
     return link;
--- a/packages/calls/src/relay.ts
+++ b/packages/calls/src/relay.ts
@@ -9,10 +9,10 @@
 import { type CallAnswer, type CallBody, type CallRoute, answerOf } from './callHandler.js';
 import { type Forwarder } from './forwarder.js';
 import { type HeaderBlock } from './headers.js';
+import { type Journal } from './journal.js';
+import { type LearnedCalls } from './learnedCalls.js';
 import { ReplayBody } from './replayBody.js';
-
-/** Class of calls that upstreams make: work was spent on what they are for, so they go before fresh requests. */
-const CLASS_OF_CALLS = 0;
+import { type RunningCall, type RunningCalls } from './runningCalls.js';
 
 /** A request as it came in. */
 export interface RelayedRequest {
@@ -25,8 +25,8 @@
   readonly requestId: string;
   /** Time that the caller will wait, ms; undefined if it didn't say. */
   readonly remainingMs: number | undefined;
-  /** Whether it is a call of the upstream on this VM. */
-  readonly isCall: boolean;
+  /** Id of the request that it may be a call for, if it is one of the upstream on this VM. */
+  readonly parentId: string | undefined;
 }
 
 /** What the relay needs of its daemon. */
@@ -34,11 +34,13 @@
   readonly clock: Clock;
   readonly routes: () => HostRoutes | undefined;
   readonly generation: () => number;
+  readonly journal: Journal;
   readonly forwarder: Pick<Forwarder, 'forward'>;
   /** Service of the upstream on this VM. */
   readonly originService: string;
-  /** Told of each call of the upstream on this VM. */
-  readonly onCall: (route: HostRoute, service: string) => void;
+  /** Requests that the upstream on this VM runs. */
+  readonly running: RunningCalls;
+  readonly learned: LearnedCalls;
 }
 
 /** Serves unchanged callers at their first daemon. */
@@ -56,8 +58,10 @@
     const route = routes?.find(request.host, request.path);
     const service = route && routes?.serviceFor(route);
     if (!routes || !route || service === undefined) return answerOf(endOf(this.unroutable(routes, route), 0));
-    if (request.isCall) this.options.onCall(route, service);
-    return this.withinTimeout(request, route, service, new ReplayBody(source), signal);
+    const parent = request.parentId === undefined ? undefined : this.options.running.get(request.parentId);
+    if (parent) this.options.learned.saw(parent.route.name, { name: route.name, service });
+    const context = this.context(request, route, parent);
+    return this.withinTimeout(request, context, route, service, new ReplayBody(source), signal);
   }
 
   private unroutable(routes: HostRoutes | undefined, route: HostRoute | undefined): Refusal {
@@ -72,13 +76,21 @@
    */
   private withinTimeout(
     request: RelayedRequest,
+    context: CallContext,
     route: HostRoute,
     service: string,
     body: ReplayBody,
     signal: CancelSignal,
   ): Promise<CallAnswer> {
-    const { clock, forwarder } = this.options;
-    const context = this.context(request, route);
+    const { clock, forwarder, journal } = this.options;
+    const startedAt = clock.now();
+    journal.note(context.requestId, 'Taken.', {
+      route: route.name,
+      service,
+      generation: context.generation,
+      class: context.class,
+      remainingMs: context.remainingMs,
+    });
     const callRoute: CallRoute = { name: route.name, service, idempotent: route.idempotent, calls: [] };
     const { method, path, headers } = request;
     const head: RequestHead = { context, service, method, path, headers };
@@ -88,11 +100,15 @@
     else signal.addEventListener('abort', giveUp, { once: true });
     return new Promise(resolve => {
       const timer = clock.after(context.remainingMs, () => {
-        resolve(answerOf(endOf(refusalOf('requestTimedOut', 'No answer came within the timeout.'), 0)));
+        settle(answerOf(endOf(refusalOf('requestTimedOut', 'No answer came within the timeout.'), 0)));
         giveUp();
       });
+      let isSettled = false;
       const settle = (answer: CallAnswer) => {
+        if (isSettled) return;
+        isSettled = true;
         timer[Symbol.dispose]();
+        this.noteEnd(context.requestId, answer, clock.now() - startedAt);
         resolve(answer);
       };
       const until = route.idempotent ? given.signal : NEVER;
@@ -102,15 +118,27 @@
     });
   }
 
-  private context(request: RelayedRequest, route: HostRoute): CallContext {
+  private noteEnd(requestId: string, { first }: CallAnswer, ms: number): void {
+    const { journal } = this.options;
+    const { refusal, head } = first;
+    const tookMs = Math.round(ms);
+    if (refusal) {
+      const { code, outcome, message, retryAfterMs } = refusal;
+      journal.note(requestId, 'Refused or failed.', { code, outcome, why: message, retryAfterMs, tookMs });
+    } else journal.note(requestId, 'Answered.', { status: head?.status ?? 0, tookMs });
+    journal.ended(requestId, refusal !== undefined || (head?.status ?? 0) >= FIRST_SERVER_ERROR);
+  }
+
+  /** A call has the importance of the request that it is for, so that both are refused or admitted at every hop. */
+  private context(request: RelayedRequest, route: HostRoute, parent: RunningCall | undefined): CallContext {
     return {
       requestId: request.requestId,
       try: 1,
-      rootId: request.requestId,
-      class: request.isCall ? CLASS_OF_CALLS : CLASS_OF_CALLS + 1 + route.rank,
+      rootId: parent?.context.rootId ?? request.requestId,
+      class: parent?.context.class ?? route.rank,
       remainingMs: Math.floor(Math.min(route.timeoutMs, request.remainingMs ?? route.timeoutMs)),
       retryTokens: Math.max(0, route.mostAttempts - 1),
-      depth: 0,
+      depth: (parent?.context.depth ?? -1) + 1,
       targetEpoch: 0,
       toHome: false,
       generation: this.options.generation(),
@@ -121,6 +149,9 @@
   }
 }
 
+/** Answers from this status on are failures of the upstream, or of something that it called. */
+const FIRST_SERVER_ERROR = 500;
+
 /** A daemon that has just started, or whose upstreams are being replaced, serves within about half a second. */
 const SOON = { retryAfterMs: 300 };
 
--- a/packages/calls/src/upstreamSide.ts
+++ b/packages/calls/src/upstreamSide.ts
@@ -89,10 +89,14 @@
       const refusal = early ?? refusalOf('innerMessageInvalid', 'The call has no context.');
       return answerOf(endOf(refusal, context?.retryTokens ?? 0));
     }
+    const { clock } = this.options;
+    const arrivedAt = clock.now();
     const permit = await this.admit(context, route, upstream, signal);
     if (!('release' in permit))
       return answerOf(endOf(permit, context.retryTokens, this.load(upstream, route)));
-    return this.run({ head, context, route, upstream, permit, body }, signal);
+    const remainingMs = Math.max(1, Math.floor(context.remainingMs - (clock.now() - arrivedAt)));
+    const left = { ...context, remainingMs };
+    return this.run({ head, context: left, route, upstream, permit, body }, signal);
   }
 
   /** Answers a sender that lost contact with a try. */
@@ -136,13 +140,22 @@
       return refusalOf('sealed', 'The sender gave this try up.');
     }
     if (!route.idempotent) tries.refused(requestId);
-    journal.note(requestId, `Refused at level ${level.toFixed(3)}: ${resultByCode(permit.code)}.`);
+    const { inFlight, queued, limit, admissionLevel } = upstream.admission.load();
+    const facts = { level, inFlight, queued, limit, admissionLevel };
+    journal.note(requestId, 'Not admitted.', { result: resultByCode(permit.code), ...facts });
+    journal.ended(requestId, true);
     return permit;
   }
 
   private async run(work: Work, signal: CancelSignal): Promise<CallAnswer> {
-    const { clock, running } = this.options;
+    const { clock, running, journal } = this.options;
     const { context, route, upstream, permit } = work;
+    const startedAt = clock.now();
+    journal.note(context.requestId, 'Given to the upstream.', {
+      instance: upstream.instanceId,
+      remainingMs: context.remainingMs,
+      inFlight: upstream.admission.load().inFlight,
+    });
     const limitMs = context.remainingMs + (route.idempotent ? 0 : GRACE_MS);
     const given = givenUp(clock, limitMs, route.idempotent ? signal : NEVER);
     const call = new RunningCall(context, route, clock.now() + context.remainingMs, given.signal);
@@ -154,6 +167,9 @@
     };
     try {
       const answer = this.toAnswer(work, call, await this.ask(work, given.signal));
+      const waitedMs = Math.round(clock.now() - startedAt);
+      journal.note(context.requestId, 'The upstream answered.', { status: statusOf(answer), waitedMs });
+      journal.ended(context.requestId, false);
       if (!answer.rest) finish();
       return answer.rest ? { ...answer, rest: this.finishing(work, call, answer.rest, finish) } : answer;
     } catch (error) {
@@ -227,7 +243,7 @@
       finish();
       // A sender that asks for it hears that it ended, and that the answer is lost: it was too long to be kept.
       if (!route.idempotent) this.options.tries.ended(context.requestId, undefined);
-      this.options.journal.note(context.requestId, isWhole ? 'A long answer ended.' : 'A long answer broke.');
+      this.options.journal.note(context.requestId, 'A long answer ended.', { isWhole });
     }
   }
 
@@ -241,10 +257,9 @@
     const isGivenUp = signal.aborted;
     if (!isGivenUp) upstream.connections.distrust();
     const result: ResultName = isGivenUp ? 'deadlinePassed' : 'upstreamBroke';
-    this.options.journal.note(
-      context.requestId,
-      `The upstream gave no whole answer: ${message ?? 'unknown error'}.`,
-    );
+    const { journal } = this.options;
+    journal.note(context.requestId, 'The upstream gave no whole answer.', { why: message ?? 'unknown' });
+    journal.ended(context.requestId, true);
     if (error instanceof MisplacedAnswer)
       return refusalOf('upstreamBroke', error.message, { elsewhereHelps: true });
     const text = isGivenUp
@@ -281,3 +296,7 @@
 
 /** What was started as non-idempotent runs on, whoever leaves. */
 const NEVER = NEVER_CANCELLED;
+
+function statusOf({ first }: CallAnswer): number {
+  return first.head?.status ?? 0;
+}
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -8,6 +8,7 @@
 import { hideBin } from 'yargs/helpers';
 import { ConfigurationCommands } from './configurationCommands.js';
 import { FleetCommands } from './fleetCommands.js';
+import { explainFromLogs, readLogs } from './logExplanation.js';
 
 /** 2: input; 3: another operator was first; 4: accepted, not yet seen everywhere; 5: platform or daemon gave no answer. */
 const EXIT_CODES: Partial<Record<ResultName, number>> = {
@@ -153,8 +154,12 @@
   .command(
     'explain <requestId>',
     'what was decided about a request',
-    y => y.positional('requestId', { type: 'string', demandOption: true }),
-    async a => print(await fleet(a).explain(a.requestId)),
+    y =>
+      y.positional('requestId', { type: 'string', demandOption: true }).options({
+        logs: { type: 'string', array: true, describe: 'log files of daemons, "-" for standard input' },
+      }),
+    async a =>
+      print(a.logs ? explainFromLogs(readLogs(a.logs), a.requestId) : await fleet(a).explain(a.requestId)),
   )
   .command(
     'schema <kind>',
--- a/packages/daemon/src/core.ts
+++ b/packages/daemon/src/core.ts
@@ -4,6 +4,7 @@
   type CallBody,
   type CallHandler,
   type CallRoute,
+  type Contact,
   Forwarder,
   InnerServer,
   Journal,
@@ -22,12 +23,15 @@
   type Member,
   type RequestHead,
 } from '@cleatquay/protocol';
-import { Directory, Router } from '@cleatquay/routing';
+import { type Candidate, Directory, Router } from '@cleatquay/routing';
 import { type Logger } from 'pino';
+import { DecisionLog } from './decisionLog.js';
 import { Upstreams, type UpstreamsOptions } from './upstreams.js';
 
 /** Calls to a leaving peer may still be in flight; its connection is closed so much later, ms. */
 const FORGET_PEER_MS = 60_000;
+/** How long a finding on a failure domain holds, ms: a fraction of the 300 ms after which a peer counts as silent. */
+const CUT_OFF_HOLDS_MS = 50;
 
 /** Where a daemon stands and listens for its peers. */
 export interface CorePlace {
@@ -77,6 +81,7 @@
   readonly router: Router;
   readonly upstreamSide: UpstreamSide;
   readonly forwarder: Forwarder;
+  private readonly cutOff = new Map<string, { readonly at: number; readonly isCutOff: boolean }>();
 
   private constructor(
     private readonly options: CoreOptions,
@@ -115,7 +120,8 @@
       onChange: list => this.announceUpstreams(list),
       log: (message, facts) => upstreamsLog.info(facts, `Upstreams: ${message}`),
     });
-    this.journal = new Journal(clock);
+    const requests = new DecisionLog(clock, log.child({ part: 'requests' }));
+    this.journal = new Journal(clock, requests.write);
     this.tries = new TryMemory(clock, options.memoryMs);
     this.peers = new Peers(clock, isCut);
     this.router = new Router({
@@ -124,6 +130,7 @@
       directory: this.directory,
       self,
       failureDomain: place.failureDomain,
+      contactOf: candidate => this.contactOf(candidate),
     });
     this.upstreamSide = new UpstreamSide({
       clock,
@@ -177,6 +184,24 @@
     return isToHome ? this.options.atHome(head, body, signal) : this.upstreamSide.handle(head, body, signal);
   }
 
+  private contactOf({ address, failureDomain }: Candidate): Contact {
+    if (address === this.self) return 'good';
+    const own = this.peers.contact(address);
+    if (own !== 'good' || failureDomain === this.options.place.failureDomain) return own;
+    return this.isCutOff(failureDomain) ? 'silent' : 'good';
+  }
+
+  /** Whether a failure domain seems to be cut off; looked at anew every few ms, since each choice asks. */
+  private isCutOff(failureDomain: string): boolean {
+    const now = this.options.clock.now();
+    const known = this.cutOff.get(failureDomain);
+    if (known && now - known.at < CUT_OFF_HOLDS_MS) return known.isCutOff;
+    const members = [...this.membership.table.all()].filter(m => m.failureDomain === failureDomain);
+    const isCutOff = this.peers.areCutOff(members.map(m => m.address));
+    this.cutOff.set(failureDomain, { at: now, isCutOff });
+    return isCutOff;
+  }
+
   private announceUpstreams(list: ReturnType<Upstreams['list']>): void {
     this.membership.setUpstreams(list);
     this.directory.update(this.membership.me);
@@ -190,7 +215,7 @@
 
   private forgetPeer({ address, epoch }: Member): void {
     const now = this.membership.table.get(address);
-    if (now?.epoch !== epoch || now.state === 'ALIVE') return;
+    if (now?.epoch !== epoch || now.state === 'ALIVE' || now.state === 'SUSPECT') return;
     this.peers.forget(address);
     this.router.forget(address);
   }
--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -22,6 +22,9 @@
     registers: [this.registry],
   });
 
+  private readonly latencies = new Map<string, Histogram.Internal<'service'>>();
+  private readonly counters = new Map<string, Counter.Internal>();
+
   constructor() {
     collectDefaultMetrics({ register: this.registry });
   }
@@ -38,11 +41,26 @@
 
   /** A request came; call the result when it has ended. */
   requestStarted(): (service: string, refusal: Refusal | undefined) => void {
-    const end = this.latency.startTimer();
+    const start = performance.now();
     return (service, refusal) => {
       const label = service === '' ? 'none' : service;
-      end({ service: label });
-      this.requests.inc({ service: label, result: refusal ? resultByCode(refusal.code) : 'answered' });
+      const result = refusal ? resultByCode(refusal.code) : 'answered';
+      this.latencyOf(label).observe((performance.now() - start) / 1000);
+      this.counterOf(label, result).inc();
     };
   }
+
+  /** Looking a child up by its labels costs more than counting; there are few, so that they are kept. */
+  private latencyOf(service: string): Histogram.Internal<'service'> {
+    let child = this.latencies.get(service);
+    if (!child) this.latencies.set(service, (child = this.latency.labels(service)));
+    return child;
+  }
+
+  private counterOf(service: string, result: string): Counter.Internal {
+    const key = `${service} ${result}`;
+    let child = this.counters.get(key);
+    if (!child) this.counters.set(key, (child = this.requests.labels(service, result)));
+    return child;
+  }
 }
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -1,5 +1,12 @@
 /** The daemon for unchanged callers: the same core behind routes by host and path, with every daemon watching the source. */
-import { type CallRoute, FleetRetryBudget, Relay, type UpstreamDialect, answerOf } from '@cleatquay/calls';
+import {
+  type CallRoute,
+  FleetRetryBudget,
+  LearnedCalls,
+  Relay,
+  type UpstreamDialect,
+  answerOf,
+} from '@cleatquay/calls';
 import { type Clock, type Random } from '@cleatquay/clock';
 import {
   Configuration,
@@ -41,10 +48,14 @@
 const MEETING_PATIENCE_MS = 1500;
 /** Part of the grace in which the daemon ends by itself, before it is killed. */
 const GRACE_PART = 0.85;
-/** Longest standing delay of an upstream's queue, ms: a twentieth of the shortest of the usual targets of a second. */
-const QUEUE_MS = 50;
-/** Importance classes, at most. */
-const CLASSES = 16;
+/**
+ * Part of the shortest target latency of a service that its queue may hold a request. A tenth leaves the rest for the
+ * work itself and for three more queues on the way down.
+ */
+const QUEUE_PART = 0.1;
+/** Bounds of that, ms: not shorter than a burst of a few requests, and not longer than is of use to anybody. */
+const SHORTEST_QUEUE_MS = 20;
+const LONGEST_QUEUE_MS = 200;
 /** How often an upstream's capacity for connections may be passed while nothing is declared. */
 const FIRST_CONNECTIONS = 100;
 
@@ -82,36 +93,30 @@
   readonly configuration: Configuration<HostRoutes>;
   private readonly broker: ServiceBroker = quietBroker();
   private readonly gateway: RelayGateway;
-  private readonly relay: Relay;
-  private readonly calledRoutes = new Map<string, Pick<CallRoute, 'name' | 'service'>>();
+  private readonly learned: LearnedCalls;
   /** Made once the daemon listens for its peers. */
   private core!: Core;
+  private relay!: Relay;
   private meeting!: Meeting;
   private watch!: ConfigurationWatch;
   private spread!: ConfigurationSpread;
   private readonly listening: [name: string, ip: string, server: Server][] = [];
   private inFlight = 0;
+  /** Importance classes of the configuration in force. */
+  private classes = 1;
   private hasMet = false;
   private leavingSince: number | undefined;
 
   private constructor(private readonly parts: RelayDaemonParts) {
-    const { settings, clock, random, installation } = parts;
+    const { clock, random, installation } = parts;
+    this.learned = new LearnedCalls(clock);
     this.configuration = new Configuration(
       clock,
       sections => new HostRoutes(installation.plan(sections), random, this.configuration.inForce),
       generation => this.tookGeneration(generation),
     );
-    this.relay = new Relay({
-      clock,
-      routes: () => this.configuration.inForce,
-      generation: () => this.configuration.generation,
-      forwarder: { forward: (...call) => this.core.forwarder.forward(...call) },
-      originService: settings.service,
-      onCall: ({ name }, service) => this.calledRoutes.set(`${name} ${service}`, { name, service }),
-    });
     this.gateway = new RelayGateway({
-      ip: settings.ip,
-      relay: this.relay,
+      relay: { handle: (...call) => this.relay.handle(...call) },
       dialect: installation.callers,
       limits: () => this.configuration.inForce?.plan.limits,
       isLeaving: () => this.leavingSince !== undefined,
@@ -123,6 +128,7 @@
   static async start(parts: RelayDaemonParts): Promise<RelayDaemon> {
     const daemon = new RelayDaemon(parts);
     daemon.core = await daemon.startCore();
+    daemon.relay = daemon.makeRelay();
     daemon.meeting = daemon.makeMeeting();
     daemon.watch = daemon.makeWatch();
     daemon.spread = daemon.makeSpread();
@@ -189,7 +195,7 @@
         protection: true,
         heartbeatMs: settings.heartbeatMs,
         slowStart: false,
-        classes: () => CLASSES,
+        classes: () => this.classes,
         bounds: service => this.boundsOf(service),
         checkAddress: () => Promise.resolve(),
       },
@@ -197,7 +203,7 @@
       retries: new FleetRetryBudget(clock, retries, () => this.membership.aliveCount() + 1),
       freeMoves: 3,
       routeOf: routeOfCall,
-      callsOf: () => [],
+      callsOf: ({ name }) => this.learned.of(name),
       memoryMs: () => MEMORY_MS,
       isCut: () => false,
       atHome: () => {
@@ -209,9 +215,27 @@
     });
   }
 
+  private makeRelay(): Relay {
+    const { settings, clock } = this.parts;
+    return new Relay({
+      clock,
+      routes: () => this.configuration.inForce,
+      generation: () => this.configuration.generation,
+      journal: this.core.journal,
+      forwarder: this.core.forwarder,
+      originService: settings.service,
+      running: this.core.running,
+      learned: this.learned,
+    });
+  }
+
   private boundsOf(service: string): UpstreamBounds {
-    const declared = this.configuration.inForce?.service(service);
-    return { connections: declared?.connections ?? FIRST_CONNECTIONS, maxQueueMs: QUEUE_MS };
+    const routes = this.configuration.inForce;
+    const targetMs = routes?.shortestTargetMs(service) ?? 0;
+    return {
+      connections: routes?.service(service)?.connections ?? FIRST_CONNECTIONS,
+      maxQueueMs: Math.min(LONGEST_QUEUE_MS, Math.max(SHORTEST_QUEUE_MS, QUEUE_PART * targetMs)),
+    };
   }
 
   private makeMeeting(): Meeting {
@@ -301,6 +325,8 @@
   }
 
   private tookGeneration(generation: number): void {
+    const routes = this.configuration.inForce?.plan.routes ?? [];
+    this.classes = routes.reduce((most, { rank }) => Math.max(most, rank + 1), 1);
     this.core.membership.setGeneration(generation);
     this.gateway.applyLimits();
   }
--- a/packages/daemon/src/relayGateway.ts
+++ b/packages/daemon/src/relayGateway.ts
@@ -27,6 +27,8 @@
 export interface CallerDialect {
   /** The caller's id of this attempt; empty if it gives none. */
   readonly requestId: (request: IncomingMessage) => string;
+  /** Id of the request that this one would be a call for, as its own id tells; undefined if it tells of none. */
+  readonly parentId: (requestId: string) => string | undefined;
   /** Time that the caller will wait, ms; fails for what is no time. */
   readonly remainingMs: (request: IncomingMessage) => number | undefined;
   /** Names, in lower case, of headers that are not passed on as they came. */
@@ -36,7 +38,6 @@
 
 /** What the gateway needs of its daemon. */
 export interface RelayGatewayOptions {
-  readonly ip: string;
   readonly relay: Pick<Relay, 'handle'>;
   readonly dialect: CallerDialect;
   readonly limits: () => RouteLimits | undefined;
@@ -94,7 +95,7 @@
   }
 
   private read(request: IncomingMessage): RelayedRequest {
-    const { dialect, ip } = this.options;
+    const { dialect } = this.options;
     const requestId = dialect.requestId(request);
     if (requestId === '')
       throw new Failure('Expected an id of the request.', { result: 'headerInvalid', field: 'request id' });
@@ -105,7 +106,7 @@
       headers: passedRawHeaders(request.rawHeaders, dialect.consumed),
       requestId,
       remainingMs: dialect.remainingMs(request),
-      isCall: request.socket.remoteAddress === ip,
+      parentId: dialect.parentId(requestId),
     };
   }
 
--- a/packages/errors/src/resultCodes.ts
+++ b/packages/errors/src/resultCodes.ts
@@ -110,6 +110,12 @@
   objectMissing: row(5004, 404, 'not-run', "Check the generation and the platform's object store."),
   daemonUnreachable: row(6001, 503, 'unknown', "Check the daemon's operator address."),
   notInForce: row(6002, 504, 'unknown', 'Accepted; the named daemons could not be seen to have it yet.'),
+  linesMissing: row(
+    6003,
+    404,
+    'unknown',
+    'Add the logs of the other daemons, or ask a daemon that still remembers.',
+  ),
   internal: row(6999, 500, 'unknown', 'Report this with the log lines around it.'),
 } as const;
 
--- a/packages/routing/src/peerStatistics.ts
+++ b/packages/routing/src/peerStatistics.ts
@@ -71,6 +71,11 @@
     return Math.max(this.latencyMs, meanAge);
   }
 
+  /** How long ago it told its load, ms; infinite if it never did. */
+  loadAgeMs(): number {
+    return this.load ? this.clock.now() - this.loadAt : Number.POSITIVE_INFINITY;
+  }
+
   /** Whether it was out of reach a moment ago. */
   get isAvoided(): boolean {
     return this.clock.now() < this.avoidUntil;
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -20,6 +20,8 @@
   /** ip:port of this daemon's inner protocol. */
   readonly self: string;
   readonly failureDomain: string;
+  /** Whether a candidate can be expected to answer; all can, unless this says otherwise. */
+  readonly contactOf?: (candidate: Candidate) => 'good' | 'silent' | 'lost';
 }
 
 /** A candidate, or why there is none. */
@@ -58,6 +60,17 @@
     return candidate ? { kind: 'chosen', candidate } : { kind: 'refused' };
   }
 
+  /** What the choice of a candidate rests on, for the log. */
+  knownOf(candidate: Candidate): { outstanding: number; utilisation: number; loadAgeMs: number } {
+    const statistics = this.statisticsOf(candidate.address);
+    const utilisation = Math.round(100 * statistics.utilisation(candidate.slots)) / 100;
+    return {
+      outstanding: statistics.outstanding,
+      utilisation,
+      loadAgeMs: Math.round(statistics.loadAgeMs()),
+    };
+  }
+
   /** The level from which on every upstream of the service refuses calls to `route`. */
   levelFor(service: string, route: string): number {
     const { near, far } = this.subset(service);
@@ -108,10 +121,14 @@
     return this.lessBusy(first, second);
   }
 
-  /** Leaves out those that were out of reach a moment ago, unless all were. */
+  /** Leaves out those that are out of contact, and unless all are, those that are silent or were just out of reach. */
   private reachable(candidates: Candidate[]): Candidate[] {
-    const reachable = candidates.filter(c => !this.statisticsOf(c.address).isAvoided);
-    return reachable.length > 0 ? reachable : candidates;
+    const { contactOf = () => 'good' } = this.options;
+    const inContact = candidates.filter(c => contactOf(c) !== 'lost');
+    const reachable = inContact.filter(
+      c => contactOf(c) === 'good' && !this.statisticsOf(c.address).isAvoided,
+    );
+    return reachable.length > 0 ? reachable : inContact;
   }
 
   /**
--- a/packages/standins/src/platform/upstreamOfPlatform.ts
+++ b/packages/standins/src/platform/upstreamOfPlatform.ts
@@ -230,7 +230,7 @@
 
   private async callOthers(requestId: string): Promise<boolean> {
     for (const { host, path } of this.behaviour.calls) {
-      const id = `${requestId}-${String(++this.calls)}`;
+      const id = `${requestId}.${String(++this.calls)}`;
       if ((await callOnce(this.daemon.callers, host, path, id)) !== 200) return false;
     }
     return true;
--- /dev/null
+++ b/tests/platformNames.spec.ts
@@ -0,0 +1,49 @@
+import { expect } from 'chai';
+import { readFileSync, readdirSync } from 'node:fs';
+
+/** Names that the platform's pages give to headers, calls, fields and words, where they aren't the field's usual ones. */
+const NAMES = [
+  'Server-Stamp',
+  'Not-Executed',
+  'Expect-Instance',
+  'Caller-Service',
+  'Deadline-Ms',
+  'Request-Id',
+  'rows-tx',
+  'rows-feed',
+  'rows-get',
+  'rowVersion',
+  'warmupLeftS',
+  'trafficSplit',
+  'targetLatencyS',
+  'non_idempotent',
+  'CLEATQUAY_SETTINGS',
+  '/cleatquay/readiness',
+  '/cleatquay/instances',
+];
+
+/** The stand-ins of the platform have to speak as it does. */
+const STANDINS = 'packages/standins/src/platform/';
+
+function sources(): string[] {
+  const files = readdirSync('packages', { recursive: true, encoding: 'utf8' }).map(
+    file => `packages/${file}`,
+  );
+  return files.filter(
+    file => file.endsWith('.ts') && file.includes('/src/') && !file.includes('node_modules'),
+  );
+}
+
+describe("the platform's names", () => {
+  it('stand in its adapter only', () => {
+    const found = sources()
+      .filter(file => !file.startsWith(STANDINS))
+      .flatMap(file => {
+        const text = readFileSync(file, 'utf8');
+        const quoted = NAMES.filter(name => new RegExp(`['"\`/ ]${name}['"\`/?]`, 'i').test(text));
+        return quoted.map(name => `${file}: ${name}`);
+      });
+    expect(sources().length).to.be.greaterThan(50);
+    expect(found).to.deep.equal([]);
+  });
+});
--- a/utils/bundle.mjs
+++ b/utils/bundle.mjs
@@ -1,5 +1,10 @@
-/** Bundles the daemon for the users' platform into one file under target/: one file starts faster than a thousand. */
+/**
+ * Builds the daemon for the users' platform under target/: one file, which starts faster than a thousand, and the code
+ * that V8 compiles for it.
+ */
 import { build } from 'esbuild';
+import { spawnSync } from 'node:child_process';
+import { copyFileSync, mkdirSync, readFileSync } from 'node:fs';
 import { resolve } from 'node:path';
 
 /** Libraries that moleculer loads only for transports and formats that this project doesn't use. */
@@ -15,27 +20,26 @@
   },
 };
 
-await build({
-  entryPoints: ['platform/src/main.ts'],
-  outfile: 'target/cleatquay.mjs',
+const common = {
   bundle: true,
   platform: 'node',
-  format: 'esm',
+  format: 'cjs',
   target: 'node20',
   minifySyntax: true,
   minifyWhitespace: true,
   logLevel: 'warning',
   external: UNUSED,
   plugins: [ownPackages],
-  // CommonJS libraries inside an ES module need these.
-  banner: {
-    js: [
-      "import { createRequire as makeRequire } from 'node:module';",
-      "import { fileURLToPath as pathOf } from 'node:url';",
-      "import { dirname as folderOf } from 'node:path';",
-      'const require = makeRequire(import.meta.url);',
-      'const __filename = pathOf(import.meta.url);',
-      'const __dirname = folderOf(__filename);',
-    ].join('\n'),
-  },
+};
+
+mkdirSync('target', { recursive: true });
+await build({ ...common, entryPoints: ['platform/src/main.ts'], outfile: 'target/daemon.cjs' });
+await build({ ...common, entryPoints: ['packages/standins/src/index.ts'], outfile: 'target/standins.cjs' });
+copyFileSync('utils/launcher.cjs', 'target/cleatquay.cjs');
+
+/** V8 takes compiled code only under the flags that it was compiled with. */
+const [, flags = ''] = /run = "node (.*?) target\//.exec(readFileSync('deploy/system.toml', 'utf8')) ?? [];
+const { status } = spawnSync(process.execPath, [...flags.split(' '), 'utils/writeCodeCache.cjs'], {
+  stdio: 'inherit',
 });
+if (status !== 0) throw new Error('The compiled code could not be kept.');
