Pass answers without a length on without one, wake up less, and keep retries after refusals apart

An answer that only the end of its connection ended goes on just so; from an upstream that usually tells lengths it is a broken answer for a request that may run again. One timer for all links, none for an idle admission, the event loop looked at once a second. Limits fall to half of the announced slots at most. Retries after 'not run' have 0.4 of the fleet's ratio, those that may repeat runs 0.12 a level.

Tests that failed first: 'cut-unframed' in platformTruth.spec.ts.

--- a/packages/admission/src/adaptiveLimit.ts
+++ b/packages/admission/src/adaptiveLimit.ts
@@ -4,6 +4,11 @@
 const COLD_SHARE = 0.1;
 const DECREASE = 0.9;
 const DECREASE_EVERY_MS = 100;
+/**
+ * Share of the announced slots that is always used. An upstream that sheds below that sheds for another reason than its
+ * load, and gets no better by being given less.
+ */
+const SMALLEST_SHARE = 0.5;
 
 /** Grows with answers, shrinks when the upstream sheds; never above the announced slots. */
 export class AdaptiveLimit {
@@ -44,7 +49,7 @@
     const now = this.clock.now();
     if (now - this.lastDecrease < DECREASE_EVERY_MS) return;
     this.lastDecrease = now;
-    this.limit = Math.max(1, this.limit * DECREASE);
+    this.limit = Math.max(1, this.slots * SMALLEST_SHARE, this.limit * DECREASE);
     this.threshold = this.limit;
   }
 }
--- a/packages/admission/src/admission.ts
+++ b/packages/admission/src/admission.ts
@@ -55,12 +55,12 @@
   private latencyMs = FIRST_GUESS_MS;
   private refusedInTick = false;
   private overloadedSince: number | undefined;
-  private timer: Timer;
+  /** Runs only while something waits or is being refused: an idle daemon has nothing to wake up for. */
+  private timer: Timer | undefined;
 
   constructor(private readonly options: AdmissionOptions) {
     this.limit = new AdaptiveLimit(options.clock, options.slots, options.cold);
     this.level = new AdmissionLevel(options.classes);
-    this.timer = options.clock.after(TICK_MS, () => this.tick());
   }
 
   /** A permit, at once or after a short wait, or a refusal. `remainingMs` is what the deadline leaves. */
@@ -89,7 +89,7 @@
   }
 
   [Symbol.dispose](): void {
-    this.timer[Symbol.dispose]();
+    this.timer?.[Symbol.dispose]();
     for (const waiter of this.queue.splice(0))
       waiter.settle(refusalOf('draining', 'The upstream left.', ELSEWHERE));
   }
@@ -137,6 +137,7 @@
     const leave = () => this.drop(waiter);
     signal.addEventListener('abort', leave, { once: true });
     if (this.queue.length === 0) this.lastEmptyAt = now;
+    this.keepTicking();
     this.insert(waiter);
     this.evictIfFull();
   }
@@ -189,6 +190,7 @@
   private refuse(waiter: Waiter): void {
     this.level.refused(waiter.level);
     this.refusedInTick = true;
+    this.keepTicking();
     this.overloadedSince ??= this.options.clock.now();
     this.counts.refused++;
     waiter.settle(
@@ -222,9 +224,13 @@
     waiter.settle(refusalOf('deadlineTooShort', 'The request would have ended after its deadline.'));
   }
 
+  private keepTicking(): void {
+    this.timer ??= this.options.clock.after(TICK_MS, () => this.tick());
+  }
+
   private tick(): void {
-    const { clock } = this.options;
-    const now = clock.now();
+    this.timer = undefined;
+    const now = this.options.clock.now();
     const isOld = ({ level, since }: Waiter) => now - since > 2 * this.patienceMs(level < 1);
     for (const waiter of this.queue.filter(isOld)) {
       this.queue.splice(this.queue.indexOf(waiter), 1);
@@ -233,7 +239,7 @@
     if (!this.refusedInTick) this.level.rise();
     if (!this.refusedInTick && this.level.isOpen) this.overloadedSince = undefined;
     this.refusedInTick = false;
-    this.timer = clock.after(TICK_MS, () => this.tick());
+    if (this.queue.length > 0 || !this.level.isOpen) this.keepTicking();
   }
 }
 
--- a/packages/calls/src/fleetRetryBudget.ts
+++ b/packages/calls/src/fleetRetryBudget.ts
@@ -6,11 +6,15 @@
 import { type RetryBudget } from './retryAllowance.js';
 
 /**
- * The fraction is shared over so many levels of a chain: a repeated request repeats its calls further down, so that
- * the repeats of every level above add up at the deepest service. Seven levels are the deepest that are planned for;
- * the deepest of today's chains has four, and the top level repeats what the lower ones carry.
+ * Part of the fraction for tries that an upstream refused: they ran nothing, so that their repeats repeat no calls.
  */
-const LEVELS = 5;
+const REFUSED_PART = 0.4;
+/**
+ * Part for tries that may have run. A repeat of one repeats its calls further down, so that the repeats of every level
+ * above add up at the deepest service: five levels of them and the part above make the whole. The deepest of today's
+ * chains has four.
+ */
+const RUN_PART = 0.12;
 /** The window is counted in so many steps. */
 const STEPS = 10;
 /** Part of the fixed allowance that the fleet may spend; the rest covers daemons that this one does not know of. */
@@ -26,9 +30,9 @@
 }
 
 interface Step {
-  index: number;
+  readonly index: number;
   requests: number;
-  retries: number;
+  readonly retries: Record<'not-run' | 'may-have-run', number>;
 }
 
 /** The budget of one daemon. */
@@ -50,15 +54,16 @@
     // Requests count, however they end.
   }
 
-  take(service: string): boolean {
+  take(service: string, before: 'not-run' | 'may-have-run'): boolean {
     const current = this.step(service);
     const { ratio, extra } = this.bounds;
     const steps = this.steps.get(service) ?? [];
     const requests = steps.reduce((sum, step) => sum + step.requests, 0);
-    const retries = steps.reduce((sum, step) => sum + step.retries, 0);
-    const fixed = (extra * FIXED_PART) / (LEVELS * Math.max(1, this.daemons()));
-    if (retries + 1 > (requests * ratio) / LEVELS + fixed) return false;
-    current.retries++;
+    const retries = steps.reduce((sum, step) => sum + step.retries[before], 0);
+    const fixed = (extra * FIXED_PART) / Math.max(1, this.daemons());
+    const part = before === 'not-run' ? REFUSED_PART : RUN_PART;
+    if (retries + 1 > (requests * ratio + fixed) * part) return false;
+    current.retries[before]++;
     return true;
   }
 
@@ -70,7 +75,7 @@
     const last = steps.at(-1);
     if (last?.index === index) return last;
     while (steps[0] && steps[0].index < index - STEPS) steps.shift();
-    const step = { index, requests: 0, retries: 0 };
+    const step: Step = { index, requests: 0, retries: { 'not-run': 0, 'may-have-run': 0 } };
     steps.push(step);
     return step;
   }
--- a/packages/calls/src/forwarder.ts
+++ b/packages/calls/src/forwarder.ts
@@ -142,8 +142,9 @@
   ): boolean {
     if (tokens < 1 || signal.aborted || !body.isReplayable || !refusal.elsewhereHelps) return false;
     if (!reachedUpstream(refusal)) return true;
-    const mayRepeat = refusal.outcome === 'not-run' || route.idempotent;
-    return mayRepeat && this.options.retries.take(route.service);
+    const before = refusal.outcome === 'not-run' ? 'not-run' : 'may-have-run';
+    const mayRepeat = before === 'not-run' || route.idempotent;
+    return mayRepeat && this.options.retries.take(route.service, before);
   }
 
   /** One try: gives its answer, or why there is none. */
--- a/packages/calls/src/link.ts
+++ b/packages/calls/src/link.ts
@@ -1,5 +1,5 @@
 /** The calling end of a link: many calls to one peer over one long-lived gRPC stream. */
-import { type CancelSignal, type Clock, type Timer } from '@cleatquay/clock';
+import { type CancelSignal, type Clock } from '@cleatquay/clock';
 import {
   type AnswerPart,
   type LinkFrame,
@@ -14,7 +14,7 @@
 import { LostContact } from './lostContact.js';
 
 /** How often a link with calls is looked at, ms. */
-const CHECK_MS = 50;
+export const LINK_CHECK_MS = 50;
 /** A peer that has said nothing for so long while calls wait is pinged, ms: many round trips of 2 ms. */
 const PING_AFTER_MS = 100;
 /** A peer that has not answered that ping for so long either gets no new calls if another can take them, ms. */
@@ -40,7 +40,6 @@
   private silent = false;
   private heardAt: number;
   private checkedAt = 0;
-  private check: Timer | undefined;
   private failure: LostContact | undefined;
 
   constructor(
@@ -57,6 +56,11 @@
     stream.on('error', (error: Error) => this.fail(`broke the link: ${error.message}`));
   }
 
+  /** Whether calls wait for the peer, or it is not known yet whether it is there. */
+  get isInUse(): boolean {
+    return this.calls.size > 0 || this.silent;
+  }
+
   /** Whether the peer owes an answer, to a ping at least, for longer than it should. */
   get isSilent(): boolean {
     return this.silent;
@@ -73,8 +77,8 @@
     if (signal.aborted) throw new LostContact('The call was given up.', true);
     const number = ++this.lastNumber;
     const call: LinkedCall = { answers: new PartQueue(), window: new SendWindow() };
+    if (!this.isInUse) this.startListening();
     this.calls.set(number, call);
-    this.watch();
     const abandon = () => {
       call.answers.fail(new LostContact('The call was given up.', false));
       this.end(number, call, false);
@@ -125,7 +129,6 @@
   fail(why: string): void {
     if (this.failure) return;
     this.failure = new LostContact(`${this.address} ${why}.`, false);
-    this.check?.[Symbol.dispose]();
     for (const call of this.calls.values()) {
       call.answers.fail(this.failure);
       call.window.close();
@@ -174,18 +177,16 @@
     if (credit > 0) call?.window.give(credit);
   }
 
-  /** Looks after the peer for as long as calls wait for it. */
-  private watch(): void {
-    if (this.check) return;
+  /** The first call after a pause: the peer owed nothing until now. */
+  private startListening(): void {
     this.heardAt = this.clock.now();
     this.checkedAt = this.heardAt;
-    this.check = this.clock.after(CHECK_MS, () => this.checkSilence());
   }
 
-  private checkSilence(): void {
+  /** Looks whether the peer still answers while calls wait for it; to be asked every `LINK_CHECK_MS`. */
+  checkSilence(): void {
     const now = this.clock.now();
-    this.check = undefined;
-    if (this.calls.size === 0 || this.failure) return;
+    if (!this.isInUse || this.failure) return;
     // A process that was itself stopped has not listened: what came meanwhile is read after this.
     if (now - this.checkedAt > SILENT_MS / 2) this.heardAt = now;
     this.checkedAt = now;
@@ -196,6 +197,5 @@
       this.pingedAt = now;
       this.writer.send({ ping: ++this.lastPing });
     }
-    this.check = this.clock.after(CHECK_MS, () => this.checkSilence());
   }
 }
--- a/packages/calls/src/peers.ts
+++ b/packages/calls/src/peers.ts
@@ -1,5 +1,5 @@
 /** The other daemons, over gRPC: one client for each, made when first needed. */
-import { type CancelSignal, Cancellation, type Clock, NOT_NEEDED } from '@cleatquay/clock';
+import { type CancelSignal, Cancellation, type Clock, NOT_NEEDED, type Timer } from '@cleatquay/clock';
 import {
   type ConfigurationAnswer,
   InnerClient,
@@ -9,7 +9,7 @@
 } from '@cleatquay/protocol';
 import { Metadata, type ServiceError, connectivityState, credentials, status } from '@grpc/grpc-js';
 import { type CallAnswer, type CallBody } from './callHandler.js';
-import { Link } from './link.js';
+import { LINK_CHECK_MS, Link } from './link.js';
 import { LostContact } from './lostContact.js';
 
 /** Bytes under way on a link before HTTP/2 holds the sender back: a few answers of 64 KiB. */
@@ -40,6 +40,7 @@
 /** Clients of peers. */
 export class Peers implements Disposable {
   private isClosed = false;
+  private check: Timer | undefined;
   private readonly clients = new Map<string, InnerClient>();
   private readonly links = new Map<string, Link>();
   private readonly lost = new Map<string, Cancellation>();
@@ -59,6 +60,7 @@
   ): Promise<CallAnswer> {
     if (this.isCut(address)) throw new LostContact(`${address} is cut off.`, true);
     const link = this.links.get(address) ?? (await this.connectOrWatch(address));
+    this.check ??= this.clock.after(LINK_CHECK_MS, () => this.checkLinks());
     const answer = await link.exchange(head, body, signal);
     if (this.isCut(address)) throw new LostContact(`${address} was cut off.`, false);
     return answer;
@@ -125,11 +127,20 @@
 
   [Symbol.dispose](): void {
     this.isClosed = true;
+    this.check?.[Symbol.dispose]();
     for (const watch of this.lost.values()) watch.abort(NOT_NEEDED);
     for (const link of [...this.links.values()]) link.fail('is not needed any more');
     for (const address of this.addresses) this.closeClient(address);
   }
 
+  /** One timer for all links: with one each, a daemon would wake up hundreds of times a second. */
+  private checkLinks(): void {
+    this.check = undefined;
+    for (const link of [...this.links.values()]) link.checkSilence();
+    const isInUse = [...this.links.values()].some(link => link.isInUse);
+    if (isInUse && !this.isClosed) this.check = this.clock.after(LINK_CHECK_MS, () => this.checkLinks());
+  }
+
   private async connectOrWatch(address: string): Promise<Link> {
     try {
       return await this.connect(address);
--- a/packages/calls/src/retryAllowance.ts
+++ b/packages/calls/src/retryAllowance.ts
@@ -9,8 +9,8 @@
   readonly requested: (service: string) => void;
   /** A call was answered. */
   readonly succeeded: () => void;
-  /** Takes one retry at the service if there is one. */
-  readonly take: (service: string) => boolean;
+  /** Takes one retry at the service if there is one, after a try that ran nowhere or one that may have run. */
+  readonly take: (service: string, before: 'not-run' | 'may-have-run') => boolean;
 }
 
 /** A bucket that successes fill and retries empty. */
--- a/packages/calls/src/upstreamConnections.ts
+++ b/packages/calls/src/upstreamConnections.ts
@@ -40,6 +40,8 @@
   readonly start: Buffer;
   /** What follows; undefined if `start` is the whole. */
   readonly rest: AsyncIterable<Buffer> | undefined;
+  /** Only the end of the connection ended the answer. */
+  readonly isUnframed: boolean;
 }
 
 /** The answer on the connection belongs to another request. The own request may have run. */
@@ -49,6 +51,7 @@
 export class UpstreamConnections implements AsyncDisposable {
   private readonly kept: Pool;
   private readonly fresh: Pool;
+  private framed = false;
   private distrustUntil = Number.NEGATIVE_INFINITY;
   /** Connections that ended with an error. */
   private resets = 0;
@@ -68,7 +71,11 @@
     const isDistrusted = this.clock.now() < this.distrustUntil;
     const pool = !request.idempotent && isDistrusted ? this.fresh : this.kept;
     return new Promise((resolve, reject) => {
-      const exchange = new Exchange(request, signal, { resolve, reject }, () => this.resets);
+      const settle = (answer: UpstreamAnswer) => {
+        this.framed ||= !answer.isUnframed;
+        resolve(answer);
+      };
+      const exchange = new Exchange(request, signal, { resolve: settle, reject }, () => this.resets);
       const { method, path, headers, body } = request;
       pool.dispatch(
         {
@@ -82,6 +89,11 @@
     });
   }
 
+  /** Whether the upstream usually says where its answers end. */
+  get framesAnswers(): boolean {
+    return this.framed;
+  }
+
   /** Something came over a kept connection that should not have. */
   distrust(): void {
     this.distrustUntil = this.clock.now() + DISTRUST_MS;
@@ -192,7 +204,8 @@
   private answer(rest?: AsyncIterable<Buffer>): UpstreamAnswer {
     const start = this.start.length === 1 && this.start[0] ? this.start[0] : Buffer.concat(this.start);
     this.start = [];
-    return { status: this.status, headers: this.headers, start, rest };
+    const isUnframed = this.resetsBefore !== undefined;
+    return { status: this.status, headers: this.headers, start, rest, isUnframed };
   }
 
   private async *readRest(rest: PartQueue<Buffer | 'end'>): AsyncGenerator<Buffer> {
--- a/packages/calls/src/upstreamSide.ts
+++ b/packages/calls/src/upstreamSide.ts
@@ -209,7 +209,14 @@
       const shed = refusalOf('shedByUpstream', 'The upstream did not run the request.', SHED_MORE);
       return answerOf(endOf(shed, call.retryTokens, this.load(upstream, route)));
     }
+    if (response.isUnframed && route.idempotent && upstream.connections.framesAnswers) {
+      permit.release('failed');
+      const text = 'An upstream that tells the length of its answers broke off before it did.';
+      const broken = refusalOf('answerIncomplete', text, { elsewhereHelps: true });
+      return answerOf(endOf(broken, call.retryTokens, this.load(upstream, route)));
+    }
     const answerHead = {
+      unframed: response.isUnframed,
       status: response.status,
       headers: passedHeaders(response.headers, dialect.dropped),
     };
--- a/packages/daemon/src/callerAnswer.ts
+++ b/packages/daemon/src/callerAnswer.ts
@@ -101,15 +101,22 @@
 
 function writeHead(
   response: ServerResponse,
-  { status, headers }: AnswerHead,
+  { status, headers, unframed }: AnswerHead,
   length: number | undefined,
   writer: AnswerWriter,
 ): void {
   const list = [...headerList(headers), ...writer.headers(status)];
-  if (length !== undefined) list.push('content-length', String(length));
+  if (unframed) endWithConnection(response);
+  else if (length !== undefined) list.push('content-length', String(length));
   response.writeHead(status, list);
 }
 
+/** The answer goes as it came: nobody knows its length, and to tell one would vouch for it. */
+function endWithConnection(response: ServerResponse): void {
+  response.useChunkedEncodingByDefault = false;
+  response.shouldKeepAlive = false;
+}
+
 /** Writes a refusal: outcome and time to come back in headers, and all of it as JSON. */
 export function writeRefusal(response: ServerResponse, refusal: Refusal): void {
   const name = resultByCode(refusal.code);
--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -5,6 +5,9 @@
 
 const LATENCY_BUCKETS = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30];
 
+/** How often node looks at the delay of its event loop, ms; its own 10 ms wake an idle daemon a hundred times a second. */
+const EVENT_LOOP_PRECISION_MS = 1000;
+
 /** The daemon's registry and what it counts. */
 export class Metrics {
   readonly registry = new Registry();
@@ -26,7 +29,10 @@
   private readonly counters = new Map<string, Counter.Internal>();
 
   constructor() {
-    collectDefaultMetrics({ register: this.registry });
+    collectDefaultMetrics({
+      register: this.registry,
+      eventLoopMonitoringPrecision: EVENT_LOOP_PRECISION_MS,
+    });
   }
 
   /** A gauge that is read when asked for. */
--- a/packages/standins/src/platform/upstreamOfPlatform.ts
+++ b/packages/standins/src/platform/upstreamOfPlatform.ts
@@ -20,6 +20,10 @@
   | 'cut-answer'
   /** Runs it, and answers without a length by the end of the connection, which is reset. */
   | 'reset-unframed'
+  /** Runs it, and closes the connection in the middle of an answer without a length. */
+  | 'cut-unframed'
+  /** Answers without a length, as the whole of its connection. */
+  | 'unframed'
   /** Answers twice, the second time late, where the next answer is expected. */
   | 'answer-twice'
   /** Sends bytes that are no answer. */
@@ -201,6 +205,10 @@
         return void socket.write(`${head}Connection: close\r\n\r\n${text.slice(0, text.length / 2)}`, () =>
           setTimeout(() => socket.resetAndDestroy(), 20),
         );
+      case 'cut-unframed':
+        return void socket.end(`${head}Connection: close\r\n\r\n${text.slice(0, text.length / 2)}`);
+      case 'unframed':
+        return void socket.end(`${head}Connection: close\r\n\r\n${text}`);
       case 'garble':
         return void socket.end('these bytes are no answer\r\n\r\n');
       case 'answer-twice':
--- a/tests/platformTruth.spec.ts
+++ b/tests/platformTruth.spec.ts
@@ -1,27 +1,28 @@
 import { type UpstreamFault } from '@cleatquay/standins';
 import { expect } from 'chai';
 import fc from 'fast-check';
-import { PlatformFleet, routeTo } from './fixtures/platformFleet.js';
+import { PlatformFleet, configurationText, routeTo, until } from './fixtures/platformFleet.js';
 
 const PROMISES = [408, 421, 429, 503];
 const SERVICES = ['receiving', 'receiving', 'receiving'];
 
+const ROUTES = [
+  routeTo('receiving', {
+    name: 'confirm',
+    host: 'confirm.example',
+    kind: 'non_idempotent',
+    maxAttempts: 3,
+  }),
+  routeTo('receiving', { name: 'read', host: 'read.example', maxAttempts: 3 }),
+];
+
 describe('what callers on the platform are told', () => {
   let fleet: PlatformFleet;
 
   before(async () => {
-    const routes = [
-      routeTo('receiving', {
-        name: 'confirm',
-        host: 'confirm.example',
-        kind: 'non_idempotent',
-        maxAttempts: 3,
-      }),
-      routeTo('receiving', { name: 'read', host: 'read.example', maxAttempts: 3 }),
-    ];
     fleet = await PlatformFleet.start(
       SERVICES.map(service => ({ service })),
-      routes,
+      ROUTES,
     );
   });
 
@@ -78,8 +79,45 @@
     });
   });
 
+  describe('of an answer that only the end of its connection ended', () => {
+    it('is that nobody knows its length, when the request may run only once', async () => {
+      setFaults(() => 'none');
+      await confirm();
+      once('cut-unframed');
+      const { status, headers } = await confirm();
+      expect(status).to.equal(200);
+      expect(headers['content-length']).to.equal(undefined);
+      expect(headers['transfer-encoding']).to.equal(undefined);
+      expect(headers.connection).to.equal('close');
+    });
+
+    it('is the answer itself, from an upstream that never tells a length', async () => {
+      const node = await fleet.add({ service: 'unframed' }, 'i-unframed');
+      node.upstream.behaviour.fault = () => 'unframed';
+      const routes = [routeTo('unframed', { timeoutS: 5 })];
+      fleet.store.put('op', 'config', configurationText(0x100, routes));
+      await until(() => node.daemon.configuration.generation === 0x100);
+      const { status, text } = await fleet.ask(node, { id: 'plain', host: 'unframed.example' });
+      expect(status).to.equal(200);
+      expect(text).to.match(/^plain x{200}$/);
+      await node.upstream[Symbol.asyncDispose]();
+      fleet.nodes.pop();
+      await node.daemon[Symbol.asyncDispose]();
+      await node.store[Symbol.asyncDispose]();
+      fleet.store.put('op', 'config', configurationText(0x101, ROUTES));
+      await until(() => fleet.nodes.every(({ daemon }) => daemon.configuration.generation === 0x101));
+    });
+  });
+
   describe('of a request that may run again', () => {
-    for (const fault of ['lose-answer', 'cut-answer', 'reset-unframed', 'garble', 'shed'] as const) {
+    for (const fault of [
+      'lose-answer',
+      'cut-answer',
+      'reset-unframed',
+      'cut-unframed',
+      'garble',
+      'shed',
+    ] as const) {
       it(`is the answer of another upstream after "${fault}"`, async () => {
         once(fault);
         const { id, status, text } = await read();
--- a/tests/retryBudget.spec.ts
+++ b/tests/retryBudget.spec.ts
@@ -87,7 +87,7 @@
       const refusal = refusalOf('upstreamBroke', '', { elsewhereHelps: true });
       return answerOf(endOf(refusal, running.retryTokens));
     }
-    const head = { status: 200, headers: '' };
+    const head = { status: 200, headers: '', unframed: false };
     const end = { length: 0, crc32: 0 };
     return answerOf({
       head,
--- a/tests/tryMemory.spec.ts
+++ b/tests/tryMemory.spec.ts
@@ -3,7 +3,7 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 
-const ANSWER = { head: { status: 200, headers: '' }, body: Buffer.from('done') };
+const ANSWER = { head: { status: 200, headers: '', unframed: false }, body: Buffer.from('done') };
 
 describe('the memory of tries', () => {
   it('never dispatches what it sealed, nor seals what it dispatched, in any order of events', async () => {
