--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -3,3 +3,4 @@
 export { AdaptiveLimit } from './adaptiveLimit.js';
 export { AdmissionLevel } from './admissionLevel.js';
 export { levelOf } from './level.js';
+export { ProcessorPressure } from './processorPressure.js';
--- /dev/null
+++ b/packages/admission/src/processorPressure.ts
@@ -0,0 +1,60 @@
+/**
+ * Whether this process is short of processor time, and which requests it should refuse for that. A daemon whose event
+ * loop lags holds every request for as long as the lag, sees late that callers have left, and gets ever later: refusing
+ * costs it a fraction of what serving does. After DAGOR (Zhou et al., SoCC 2018), which watches queuing time, too.
+ */
+import { type Clock, type Timer } from '@cleatquay/clock';
+
+/** How often the lag is measured, ms. */
+const SAMPLE_MS = 50;
+/** A lag up to this is that of a busy, healthy process, ms: a garbage collection, a burst of answers. */
+const HEALTHY_LAG_MS = 60;
+/** Share of the level's range by which it falls with each sample that lags, and rises with each that doesn't. */
+const FALL = 0.08;
+const RISE = 0.01;
+/** The most important class is served as long as anything is. */
+const LOWEST_LEVEL = 1;
+
+/** The lag of the event loop, and the admission level that follows from it. */
+export class ProcessorPressure implements Disposable {
+  private share = 1;
+  private lag = 0;
+  private timer: Timer;
+
+  constructor(
+    private readonly clock: Clock,
+    /** Number of importance classes; the level at which everything is admitted. */
+    private readonly classes: () => number,
+  ) {
+    this.timer = this.schedule();
+  }
+
+  /** How late the last sample was, ms. */
+  get lagMs(): number {
+    return this.lag;
+  }
+
+  /** Whether requests wait for the processor longer than they should. */
+  get isLagging(): boolean {
+    return this.lag > HEALTHY_LAG_MS;
+  }
+
+  /** Requests at or above this level are to be refused; infinite when there is no pressure. */
+  get level(): number {
+    if (this.share >= 1) return Number.POSITIVE_INFINITY;
+    return Math.max(LOWEST_LEVEL, this.share * this.classes());
+  }
+
+  [Symbol.dispose](): void {
+    this.timer[Symbol.dispose]();
+  }
+
+  private schedule(): Timer {
+    const due = this.clock.now() + SAMPLE_MS;
+    return this.clock.after(SAMPLE_MS, () => {
+      this.lag = Math.max(0, this.clock.now() - due);
+      this.share = this.isLagging ? Math.max(0, this.share - FALL) : Math.min(1, this.share + RISE);
+      this.timer = this.schedule();
+    });
+  }
+}
--- a/packages/calls/src/relay.ts
+++ b/packages/calls/src/relay.ts
@@ -3,7 +3,15 @@
  * learn the outcome from the status. This daemon is the only one that sends the request on, so that it alone knows
  * whether it may have run.
  */
-import { CALLER_LEFT, type CancelSignal, Cancellation, type Clock, NEVER_CANCELLED } from '@cleatquay/clock';
+import { levelOf } from '@cleatquay/admission';
+import {
+  CALLER_LEFT,
+  type CancelSignal,
+  Cancellation,
+  type Clock,
+  NEVER_CANCELLED,
+  type Random,
+} from '@cleatquay/clock';
 import { type CallContext, type Refusal, type RequestHead, endOf, refusalOf } from '@cleatquay/protocol';
 import { type HostRoute, type HostRoutes } from '@cleatquay/routes';
 import { type CallAnswer, type CallBody, type CallRoute, answerOf } from './callHandler.js';
@@ -38,6 +46,9 @@
   readonly forwarder: Pick<Forwarder, 'forward'>;
   /** Service of the upstream on this VM. */
   readonly originService: string;
+  /** Fresh requests at or above this level are refused at once: the process has no time for them. */
+  readonly pressureLevel: () => number;
+  readonly random: Random;
   /** Requests that the upstream on this VM runs. */
   readonly running: RunningCalls;
   readonly learned: LearnedCalls;
@@ -61,9 +72,20 @@
     const parent = request.parentId === undefined ? undefined : this.options.running.get(request.parentId);
     if (parent) this.options.learned.saw(parent.route.name, { name: route.name, service });
     const context = this.context(request, route, parent);
+    const isRefused = !parent && levelOf(context.class, context.rootId) >= this.options.pressureLevel();
+    if (isRefused) return this.refuseForPressure(context);
     return this.withinTimeout(request, context, route, service, new ReplayBody(source), signal);
   }
 
+  private refuseForPressure({ requestId, class: rank }: CallContext): CallAnswer {
+    const { journal, random } = this.options;
+    journal.note(requestId, 'Refused at once: the daemon is short of processor time.', { class: rank });
+    const refusal = refusalOf('overloaded', 'The daemon is short of processor time.', {
+      retryAfterMs: Math.round(PRESSURE_RETRY_MS * (0.5 + random())),
+    });
+    return answerOf(endOf(refusal, 0));
+  }
+
   private unroutable(routes: HostRoutes | undefined, route: HostRoute | undefined): Refusal {
     if (!routes) return refusalOf('noConfiguration', 'This daemon has no configuration yet.', SOON);
     if (!route) return refusalOf('routeUnknown', 'No route has this host and path.');
@@ -152,6 +174,9 @@
 /** Answers from this status on are failures of the upstream, or of something that it called. */
 const FIRST_SERVER_ERROR = 500;
 
+/** The level falls by its range in 0.6 s and rises by it in 5 s: what is refused now has a chance after about a second. */
+const PRESSURE_RETRY_MS = 1000;
+
 /** A daemon that has just started, or whose upstreams are being replaced, serves within about half a second. */
 const SOON = { retryAfterMs: 300 };
 
--- a/packages/daemon/src/core.ts
+++ b/packages/daemon/src/core.ts
@@ -51,7 +51,7 @@
   readonly log: Logger;
   readonly upstreams: Pick<
     UpstreamsOptions,
-    'protection' | 'heartbeatMs' | 'slowStart' | 'classes' | 'bounds' | 'checkAddress'
+    'protection' | 'heartbeatMs' | 'slowStart' | 'classes' | 'bounds' | 'checkAddress' | 'pressureLevel'
   >;
   readonly dialect: UpstreamDialect;
   readonly retries: RetryBudget;
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -1,4 +1,5 @@
 /** The daemon for unchanged callers: the same core behind routes by host and path, with every daemon watching the source. */
+import { ProcessorPressure } from '@cleatquay/admission';
 import {
   type CallRoute,
   FleetRetryBudget,
@@ -94,6 +95,7 @@
   private readonly broker: ServiceBroker = quietBroker();
   private readonly gateway: RelayGateway;
   private readonly learned: LearnedCalls;
+  private readonly pressure: ProcessorPressure;
   /** Made once the daemon listens for its peers. */
   private core!: Core;
   private relay!: Relay;
@@ -110,6 +112,7 @@
   private constructor(private readonly parts: RelayDaemonParts) {
     const { clock, random, installation } = parts;
     this.learned = new LearnedCalls(clock);
+    this.pressure = new ProcessorPressure(clock, () => this.classes);
     this.configuration = new Configuration(
       clock,
       sections => new HostRoutes(installation.plan(sections), random, this.configuration.inForce),
@@ -120,6 +123,7 @@
       dialect: installation.callers,
       limits: () => this.configuration.inForce?.plan.limits,
       isLeaving: () => this.leavingSince !== undefined,
+      isLagging: () => this.pressure.isLagging,
       started: () => this.started(),
     });
   }
@@ -175,6 +179,7 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     this.membership.leave();
+    this.pressure[Symbol.dispose]();
     this.gateway.server.closeIdleConnections();
     await this.broker.stop();
     await this.watch[Symbol.asyncDispose]();
@@ -198,6 +203,7 @@
         classes: () => this.classes,
         bounds: service => this.boundsOf(service),
         checkAddress: () => Promise.resolve(),
+        pressureLevel: () => this.pressure.level,
       },
       dialect: installation.upstreams,
       retries: new FleetRetryBudget(clock, retries, () => this.membership.aliveCount() + 1),
@@ -216,7 +222,7 @@
   }
 
   private makeRelay(): Relay {
-    const { settings, clock } = this.parts;
+    const { settings, clock, random } = this.parts;
     return new Relay({
       clock,
       routes: () => this.configuration.inForce,
@@ -226,6 +232,8 @@
       originService: settings.service,
       running: this.core.running,
       learned: this.learned,
+      pressureLevel: () => this.pressure.level,
+      random,
     });
   }
 
--- a/packages/daemon/src/relayGateway.ts
+++ b/packages/daemon/src/relayGateway.ts
@@ -42,6 +42,8 @@
   readonly dialect: CallerDialect;
   readonly limits: () => RouteLimits | undefined;
   readonly isLeaving: () => boolean;
+  /** Whether requests wait for the processor: then some callers have left by the time that theirs are read. */
+  readonly isLagging: () => boolean;
   /** Told of each request; the result is to be called when it has ended. */
   readonly started: () => (refusal: Refusal | undefined) => void;
 }
@@ -74,7 +76,7 @@
 
   /** One request, from its header to the end of its answer. */
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const { relay, dialect, isLeaving, started } = this.options;
+    const { relay, dialect, isLeaving, isLagging, started } = this.options;
     const gone = new Cancellation();
     response.on('close', () => {
       if (!response.writableFinished) gone.abort(CALLER_LEFT);
@@ -82,6 +84,8 @@
     const ended = started();
     if (isLeaving()) response.setHeader('connection', 'close');
     try {
+      if (isLagging()) await nextPoll();
+      if (gone.aborted) return ended(undefined);
       const answer = await relay.handle(this.read(request), this.bodyOf(request), gone.signal);
       const refusal = await writeAnswer(response, answer, dialect.writer);
       ended(refusal);
@@ -118,6 +122,12 @@
   }
 }
 
+/** Waits until what has come on all connections is read: the end of a connection comes a turn after its request. */
+async function nextPoll(): Promise<void> {
+  await new Promise(resolve => setImmediate(resolve));
+  await new Promise(resolve => setImmediate(resolve));
+}
+
 async function* bounded(request: IncomingMessage, limits: RouteLimits): AsyncIterable<Uint8Array> {
   let bytes = 0;
   for await (const chunk of request as AsyncIterable<Buffer>) {
