--- a/packages/admission/src/admission.ts
+++ b/packages/admission/src/admission.ts
@@ -34,8 +34,6 @@
   readonly maxQueueMs: () => number;
   /** True for an upstream that was not seen before: it gets a slow start. */
   readonly cold: boolean;
-  /** The level from which on the process has no time for requests; none unless given. */
-  readonly pressureLevel?: () => number;
 }
 
 interface Waiter {
@@ -68,7 +66,6 @@
   /** A permit, at once or after a short wait, or a refusal. `remainingMs` is what the deadline leaves. */
   async request(level: number, remainingMs: number, signal: CancelSignal): Promise<Permit | Refusal> {
     if (signal.aborted) return refusalOf('deadlineTooShort', 'The caller is gone.');
-    if (level >= this.pressureLevel()) return this.refuseForPressure();
     if (this.queue.length === 0 && this.inFlight < this.limit.value) return this.grant();
     return new Promise(resolve => this.enqueue({ level, remainingMs }, signal, resolve));
   }
@@ -79,7 +76,7 @@
       inFlight: this.inFlight,
       queued: this.queue.length,
       limit: this.limit.value,
-      admissionLevel: Math.min(this.level.value, this.pressureLevel()),
+      admissionLevel: this.level.value,
     };
   }
 
@@ -97,18 +94,6 @@
       waiter.settle(refusalOf('draining', 'The upstream left.', ELSEWHERE));
   }
 
-  private pressureLevel(): number {
-    return this.options.pressureLevel?.() ?? Number.POSITIVE_INFINITY;
-  }
-
-  private refuseForPressure(): Refusal {
-    this.counts.refused++;
-    return refusalOf('overloaded', 'The daemon beside the upstream is short of processor time.', {
-      retryAfterMs: this.retryAfterMs(),
-      elsewhereHelps: true,
-    });
-  }
-
   private grant(): Permit {
     invariant(this.inFlight < this.limit.value, 'Admission: the limit was passed.');
     this.inFlight++;
--- a/packages/admission/src/processorPressure.ts
+++ b/packages/admission/src/processorPressure.ts
@@ -1,17 +1,17 @@
 /**
  * Whether this process is short of processor time, and which requests it should refuse for that. A daemon whose event
  * loop lags holds every request for as long as the lag, sees late that callers have left, and gets ever later: refusing
- * costs it a fraction of what serving does. After DAGOR (Zhou et al., SoCC 2018), which watches queuing time, too.
+ * costs it a fraction of what serving does. Only fresh requests are refused: calls are work that was paid for. After DAGOR (Zhou et al., SoCC 2018), which watches queuing time, too.
  */
 import { type Clock, type Timer } from '@cleatquay/clock';
 
 /** How often the lag is measured, ms. */
 const SAMPLE_MS = 50;
-/** A lag up to this is that of a busy, healthy process, ms: a garbage collection, a burst of answers. */
-const HEALTHY_LAG_MS = 60;
+/** A lag up to this is borne, ms: daemons that have just started lag by 60 to 150 ms under a load that they carry. */
+const HEALTHY_LAG_MS = 200;
 /** Share of the level's range by which it falls with each sample that lags, and rises with each that doesn't. */
 const FALL = 0.08;
-const RISE = 0.01;
+const RISE = 0.025;
 /** The most important class is served as long as anything is. */
 const LOWEST_LEVEL = 1;
 
--- a/packages/calls/src/linkParts.ts
+++ b/packages/calls/src/linkParts.ts
@@ -16,19 +16,16 @@
   pong: 0,
 };
 
-/**
- * Gathers the items that one callback of the event loop makes into one frame, which costs one message of gRPC. Waiting
- * for the end of the loop's turn would cost a turn more, since HTTP/2 waits for that, too.
- */
+/** Gathers the items of one turn of the event loop into one frame, which costs one message of gRPC. */
 export class LinkWriter {
   private pending: LinkItem[] = [];
   private bytes = 0;
 
   constructor(private readonly write: (frame: LinkFrame) => void) {}
 
-  /** Queues an item for the next frame. */
+  /** Queues an item for the frame of this turn. */
   send(item: Partial<LinkItem>): void {
-    if (this.pending.length === 0) process.nextTick(() => this.flush());
+    if (this.pending.length === 0) setImmediate(() => this.flush());
     this.pending.push({ ...EMPTY_ITEM, ...item });
     this.bytes += (item.request ?? item.answer)?.body.length ?? 0;
     if (this.bytes > FRAME_BYTES) this.flush();
--- a/packages/calls/src/relay.ts
+++ b/packages/calls/src/relay.ts
@@ -174,7 +174,7 @@
 /** Answers from this status on are failures of the upstream, or of something that it called. */
 const FIRST_SERVER_ERROR = 500;
 
-/** The level falls by its range in 0.6 s and rises by it in 5 s: what is refused now has a chance after about a second. */
+/** The level falls by its range in 0.6 s and rises by it in 2 s: what is refused now has a chance after about a second. */
 const PRESSURE_RETRY_MS = 1000;
 
 /** A daemon that has just started, or whose upstreams are being replaced, serves within about half a second. */
--- a/packages/daemon/src/core.ts
+++ b/packages/daemon/src/core.ts
@@ -51,7 +51,7 @@
   readonly log: Logger;
   readonly upstreams: Pick<
     UpstreamsOptions,
-    'protection' | 'heartbeatMs' | 'slowStart' | 'classes' | 'bounds' | 'checkAddress' | 'pressureLevel'
+    'protection' | 'heartbeatMs' | 'slowStart' | 'classes' | 'bounds' | 'checkAddress'
   >;
   readonly dialect: UpstreamDialect;
   readonly retries: RetryBudget;
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -51,14 +51,8 @@
 const MEETING_PATIENCE_MS = 1500;
 /** Part of the grace in which the daemon ends by itself, before it is killed. */
 const GRACE_PART = 0.85;
-/**
- * Part of the shortest target latency of a service that its queue may hold a request. A tenth leaves the rest for the
- * work itself and for three more queues on the way down.
- */
-const QUEUE_PART = 0.1;
-/** Bounds of that, ms: not shorter than a burst of a few requests, and not longer than is of use to anybody. */
-const SHORTEST_QUEUE_MS = 20;
-const LONGEST_QUEUE_MS = 200;
+/** Longest standing delay of an upstream's queue, ms: a fifth of the shortest of the usual targets. */
+const QUEUE_MS = 50;
 
 /** A plain HTTP listener of an installation, beside that for callers. */
 export interface Listener {
@@ -206,7 +200,6 @@
         classes: () => this.classes,
         bounds: service => this.boundsOf(service),
         checkAddress: () => Promise.resolve(),
-        pressureLevel: () => this.pressure.level,
       },
       dialect: installation.upstreams,
       retries: new FleetRetryBudget(clock, retries, () => this.membership.aliveCount() + 1),
@@ -242,10 +235,9 @@
 
   private boundsOf(service: string): UpstreamBounds {
     const routes = this.configuration.inForce;
-    const targetMs = routes?.shortestTargetMs(service) ?? 0;
     return {
       connections: routes?.service(service)?.connections,
-      maxQueueMs: Math.min(LONGEST_QUEUE_MS, Math.max(SHORTEST_QUEUE_MS, QUEUE_PART * targetMs)),
+      maxQueueMs: QUEUE_MS,
     };
   }
 
--- a/packages/daemon/src/upstreams.ts
+++ b/packages/daemon/src/upstreams.ts
@@ -49,8 +49,6 @@
   readonly slowStart: boolean;
   /** Number of importance classes. */
   readonly classes: () => number;
-  /** The level from which on this process has no time for requests. */
-  readonly pressureLevel?: () => number;
   /** Bounds that the configuration in force puts on a service's upstreams. */
   readonly bounds: (service: string) => UpstreamBounds;
   /** Fails for an announced address at which this daemon may not look for an upstream. */
@@ -158,7 +156,7 @@
   }
 
   private add(announcement: Announcement): void {
-    const { clock, random, protection, slowStart, classes, bounds, pressureLevel } = this.options;
+    const { clock, random, protection, slowStart, classes, bounds } = this.options;
     const { service, address, instanceId } = announcement;
     const admission = new Admission({
       clock,
@@ -167,7 +165,6 @@
       slots: this.slotsOf(announcement),
       maxQueueMs: () => bounds(service).maxQueueMs,
       cold: protection && slowStart,
-      ...(pressureLevel ? { pressureLevel } : {}),
     });
     // Where nothing is declared, as many as it can use: no more requests than slots are under way at once.
     const allowed = Math.min(announcement.connections, bounds(service).connections ?? announcement.slots);
--- a/packages/routes/src/hostRoutes.ts
+++ b/packages/routes/src/hostRoutes.ts
@@ -8,7 +8,6 @@
   private readonly byHost = new Map<string, Map<string, HostRoute>>();
   private readonly splits = new Map<string, WeightedSplit>();
   private readonly services = new Map<string, ServicePlan>();
-  private readonly shortestTargets = new Map<string, number>();
 
   /** Splits go on from where `before` had them, if their weights are the same. */
   constructor(
@@ -24,10 +23,6 @@
       const known = before?.splits.get(route.name);
       this.splits.set(route.name, known?.fits(route.parts) ? known : new WeightedSplit(route.parts, random));
     }
-    for (const { parts, targetLatencyMs } of plan.routes) {
-      for (const { service } of parts)
-        this.shortestTargets.set(service, Math.min(this.shortestTargetMs(service), targetLatencyMs));
-    }
     for (const service of plan.services) this.services.set(service.name, service);
   }
 
@@ -50,11 +45,6 @@
     return this.splits.get(route.name)?.next();
   }
 
-  /** The shortest target latency of the routes to a service, ms; infinite if there are none. */
-  shortestTargetMs(service: string): number {
-    return this.shortestTargets.get(service) ?? Number.POSITIVE_INFINITY;
-  }
-
   /** What is declared of a service. */
   service(name: string): ServicePlan | undefined {
     return this.services.get(name);
