Read on before taking a call of a link while the process lags

After a lag a daemon reads a call and its cancellation right after each other; the call was sent on in between. The first daemon looked for callers that had left; the daemon beside the upstream did not.

--- a/packages/calls/src/index.ts
+++ b/packages/calls/src/index.ts
@@ -42,3 +42,5 @@
 export { type FleetRetryBounds, FleetRetryBudget } from './fleetRetryBudget.js';
 export { Relay, type RelayOptions, type RelayedRequest } from './relay.js';
 export { type CalledRoute, LearnedCalls } from './learnedCalls.js';
+export { LinkServer } from './linkServer.js';
+export { nextPoll } from './nextPoll.js';
--- a/packages/calls/src/innerServer.ts
+++ b/packages/calls/src/innerServer.ts
@@ -14,6 +14,8 @@
 /** What peers may ask of this daemon. */
 export interface InnerHandlers {
   readonly exchange: CallHandler;
+  /** Whether this process is behind with reading. */
+  readonly isLagging: () => boolean;
   readonly seal: (request: SealRequest) => Promise<SealAnswer>;
   readonly configuration: (request: ConfigurationRequest) => ConfigurationAnswer;
 }
@@ -31,7 +33,7 @@
   constructor(private readonly handlers: InnerHandlers) {
     this.server.addService(InnerService, {
       link: (call: ServerDuplexStream<LinkFrame, LinkFrame>) =>
-        void new LinkServer(call, this.handlers.exchange),
+        void new LinkServer(call, this.handlers.exchange, this.handlers.isLagging),
       seal: (
         call: { request: SealRequest },
         callback: (error: object | null, answer?: SealAnswer) => void,
--- a/packages/calls/src/linkServer.ts
+++ b/packages/calls/src/linkServer.ts
@@ -12,6 +12,7 @@
 import { type ServerDuplexStream } from '@grpc/grpc-js';
 import { type CallHandler, isLast } from './callHandler.js';
 import { LinkWriter, PartQueue, SendWindow } from './linkParts.js';
+import { nextPoll } from './nextPoll.js';
 
 interface ServedCall {
   readonly parts: PartQueue<RequestPart>;
@@ -28,6 +29,8 @@
   constructor(
     stream: ServerDuplexStream<LinkFrame, LinkFrame>,
     private readonly handle: CallHandler,
+    /** Whether this process is behind with reading: then some callers have left by the time that it gets to them. */
+    private readonly isLagging: () => boolean,
   ) {
     this.writer = new LinkWriter(frame => void (this.ended || stream.write(frame)));
     const end = () => this.end();
@@ -70,6 +73,8 @@
     };
     if (!isUsableHead(head)) return send(endOf(refusalOf('innerMessageInvalid', 'No usable head.'), 0));
     try {
+      if (this.isLagging()) await nextPoll();
+      if (gone.signal.aborted) return;
       const body = first.last ? first.body : this.bodyOf(number, call);
       const answer = await this.handle(head, body, gone.signal);
       send(answer.first);
--- a/packages/daemon/src/core.ts
+++ b/packages/daemon/src/core.ts
@@ -62,6 +62,8 @@
   /** How long a try is remembered, ms. */
   readonly memoryMs: () => number;
   readonly isCut: (address: string) => boolean;
+  /** Whether this process is behind with reading. */
+  readonly isLagging: () => boolean;
   /** Serves a call that is meant for this daemon as the home of its id. */
   readonly atHome: CallHandler;
   readonly configuration: (request: ConfigurationRequest) => ConfigurationAnswer;
@@ -165,6 +167,7 @@
       exchange: (head, body, signal) => serving(started).exchange(head, body, signal),
       seal: request => serving(started).upstreamSide.seal(request),
       configuration: options.configuration,
+      isLagging: options.isLagging,
     });
     const port = await inner.listen(ip, innerPort);
     started.core = new Core(options, inner, datagrams, `${ip}:${String(port)}`);
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -153,6 +153,7 @@
       callsOf: route => this.callsOf(route),
       memoryMs: () => graph()?.file.requestIdLifetimeMs ?? DEFAULT_LIFETIME_MS,
       isCut: address => this.faults.isCut(address),
+      isLagging: () => false,
       atHome: (head, body, signal) => this.entry.handleAsHome(head, body, signal),
       configuration: ({ generation }) => this.configuration.changesSince(generation),
       onGeneration: (generation, peer) => this.spread.heard(generation, peer),
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -208,6 +208,7 @@
       callsOf: ({ name }) => this.learned.of(name),
       memoryMs: () => MEMORY_MS,
       isCut: () => false,
+      isLagging: () => this.pressure.isLagging,
       atHome: () => {
         const refusal = refusalOf('innerMessageInvalid', 'This daemon issues no request ids.');
         return Promise.resolve(answerOf(endOf(refusal, 0)));
--- a/packages/daemon/src/relayGateway.ts
+++ b/packages/daemon/src/relayGateway.ts
@@ -4,6 +4,7 @@
   EMPTY_BODY,
   type Relay,
   type RelayedRequest,
+  nextPoll,
   passedRawHeaders,
 } from '@cleatquay/calls';
 import { CALLER_LEFT, Cancellation } from '@cleatquay/clock';
@@ -122,12 +123,6 @@
   }
 }
 
-/** Waits until what has come on all connections is read: the end of a connection comes a turn after its request. */
-async function nextPoll(): Promise<void> {
-  await new Promise(resolve => setImmediate(resolve));
-  await new Promise(resolve => setImmediate(resolve));
-}
-
 async function* bounded(request: IncomingMessage, limits: RouteLimits): AsyncIterable<Uint8Array> {
   let bytes = 0;
   for await (const chunk of request as AsyncIterable<Buffer>) {
--- /dev/null
+++ b/tests/linkServer.spec.ts
@@ -0,0 +1,62 @@
+import { LinkServer, answerOf } from '@cleatquay/calls';
+import { type CallContext, type LinkItem, endOf, refusalOf } from '@cleatquay/protocol';
+import { expect } from 'chai';
+import { EventEmitter } from 'node:events';
+
+const NOTHING: LinkItem = {
+  call: 1,
+  request: undefined,
+  answer: undefined,
+  cancel: false,
+  credit: 0,
+  ping: 0,
+  pong: 0,
+};
+const CONTEXT: CallContext = {
+  requestId: 'r',
+  try: 1,
+  rootId: 'r',
+  class: 0,
+  remainingMs: 1000,
+  retryTokens: 0,
+  depth: 0,
+  targetEpoch: 0,
+  toHome: false,
+  generation: 1,
+  route: 'a',
+  idempotent: true,
+  originService: '',
+};
+const REQUEST: LinkItem = {
+  ...NOTHING,
+  request: {
+    head: { context: CONTEXT, service: 's', method: 'GET', path: '/', headers: '' },
+    body: Buffer.alloc(0),
+    last: true,
+  },
+};
+
+describe('the called end of a link', () => {
+  const handledAfter = async (isLagging: boolean): Promise<number> => {
+    let handled = 0;
+    const stream = Object.assign(new EventEmitter(), { write: () => true, end: () => undefined });
+    const handle = () => {
+      handled++;
+      return Promise.resolve(answerOf(endOf(refusalOf('overloaded', ''), 0)));
+    };
+    expect(new LinkServer(stream as never, handle, () => isLagging)).to.be.instanceOf(LinkServer);
+    stream.emit('data', { items: [REQUEST] });
+    await new Promise(resolve => setImmediate(resolve));
+    stream.emit('data', { items: [{ ...NOTHING, cancel: true }] });
+    for (let turn = 0; turn < 4; turn++) await new Promise(resolve => setImmediate(resolve));
+    return handled;
+  };
+
+  it('starts no call of which it reads in the next turn that it was given up, when it is behind with reading', async () => {
+    expect(await handledAfter(true)).to.equal(0);
+  });
+
+  it('starts a call at once when it is not', async () => {
+    expect(await handledAfter(false)).to.equal(1);
+  });
+});
