--- a/packages/calls/src/relay.ts
+++ b/packages/calls/src/relay.ts
@@ -58,11 +58,6 @@
 export class Relay {
   constructor(private readonly options: RelayOptions) {}
 
-  /** The route that a request would take; undefined if there is none. */
-  find(request: Pick<RelayedRequest, 'host' | 'path'>): HostRoute | undefined {
-    return this.options.routes()?.find(request.host, request.path);
-  }
-
   /** One request. An answer or a refusal comes by the route's timeout at the latest. */
   async handle(request: RelayedRequest, source: CallBody, signal: CancelSignal): Promise<CallAnswer> {
     const routes = this.options.routes();
--- a/tests/linkServer.spec.ts
+++ b/tests/linkServer.spec.ts
@@ -1,7 +1,8 @@
 import { LinkServer, answerOf } from '@cleatquay/calls';
-import { type CallContext, type LinkItem, endOf, refusalOf } from '@cleatquay/protocol';
+import { type LinkItem, endOf, refusalOf } from '@cleatquay/protocol';
 import { expect } from 'chai';
 import { EventEmitter } from 'node:events';
+import { CALL_CONTEXT } from './fixtures/callContext.js';
 
 const NOTHING: LinkItem = {
   call: 1,
@@ -12,25 +13,10 @@
   ping: 0,
   pong: 0,
 };
-const CONTEXT: CallContext = {
-  requestId: 'r',
-  try: 1,
-  rootId: 'r',
-  class: 0,
-  remainingMs: 1000,
-  retryTokens: 0,
-  depth: 0,
-  targetEpoch: 0,
-  toHome: false,
-  generation: 1,
-  route: 'a',
-  idempotent: true,
-  originService: '',
-};
 const REQUEST: LinkItem = {
   ...NOTHING,
   request: {
-    head: { context: CONTEXT, service: 's', method: 'GET', path: '/', headers: '' },
+    head: { context: CALL_CONTEXT, service: 's', method: 'GET', path: '/', headers: '' },
     body: Buffer.alloc(0),
     last: true,
   },
--- a/tests/retryBudget.spec.ts
+++ b/tests/retryBudget.spec.ts
@@ -17,6 +17,7 @@
 import { type Route } from '@cleatquay/settings';
 import { expect } from 'chai';
 import fc from 'fast-check';
+import { CALL_CONTEXT } from './fixtures/callContext.js';
 
 const NEVER = new AbortController().signal;
 const UPSTREAMS = 4;
@@ -44,7 +45,7 @@
   }
 
   async run(budget: number): Promise<AnswerPart | undefined> {
-    return this.call({ ...CONTEXT, retryTokens: budget });
+    return this.call({ ...CALL_CONTEXT, retryTokens: budget });
   }
 
   private async call(context: CallContext): Promise<AnswerPart | undefined> {
@@ -76,7 +77,7 @@
     const running = new RunningCall(context, ROUTE, 1e9, NEVER);
     for (let i = 0; i < this.fanOut && context.depth < this.depth; i++) {
       const child = await this.call({
-        ...CONTEXT,
+        ...CALL_CONTEXT,
         depth: context.depth + 1,
         retryTokens: running.takeTokens(),
       });
@@ -100,22 +101,7 @@
   }
 }
 
-const CONTEXT: CallContext = {
-  requestId: 'r',
-  try: 1,
-  rootId: 'r',
-  class: 0,
-  remainingMs: 1000,
-  retryTokens: 0,
-  depth: 1,
-  targetEpoch: 0,
-  toHome: false,
-  generation: 1,
-  route: 's.run',
-  idempotent: true,
-  originService: '',
-};
-const HEAD: RequestHead = { context: CONTEXT, service: 's', method: 'GET', path: '/', headers: '' };
+const HEAD: RequestHead = { context: CALL_CONTEXT, service: 's', method: 'GET', path: '/', headers: '' };
 const ROUTE: Route = {
   name: 's.run',
   service: 's',
