--- a/packages/calls/src/index.ts
+++ b/packages/calls/src/index.ts
@@ -43,4 +43,5 @@
 export { Relay, type RelayOptions, type RelayedRequest } from './relay.js';
 export { type CalledRoute, LearnedCalls } from './learnedCalls.js';
 export { LinkServer } from './linkServer.js';
+export { LinkStream, type LinkStreamEvents } from './linkStream.js';
 export { nextPoll } from './nextPoll.js';
--- a/packages/calls/src/innerServer.ts
+++ b/packages/calls/src/innerServer.ts
@@ -1,13 +1,13 @@
-/** The gRPC server of the inner protocol. */
+/** The server of the inner protocol: links, and gRPC for what is rare, on one port. */
 import {
   type ConfigurationAnswer,
   type ConfigurationRequest,
   InnerService,
-  type LinkFrame,
   type SealAnswer,
   type SealRequest,
 } from '@cleatquay/protocol';
-import { Server, ServerCredentials, type ServerDuplexStream, status } from '@grpc/grpc-js';
+import { Server, ServerCredentials, status } from '@grpc/grpc-js';
+import { type AddressInfo, type Server as TcpServer, type Socket, createServer } from 'node:net';
 import { type CallHandler } from './callHandler.js';
 import { LinkServer } from './linkServer.js';
 
@@ -24,16 +24,16 @@
 export class InnerServer implements AsyncDisposable {
   private readonly server = new Server({
     'grpc.max_receive_message_length': 4 * 1_048_576,
-    'grpc-node.flow_control_window': 1_048_576,
     // Ends connections of peers that were cut off and have made new ones since.
     'grpc.keepalive_time_ms': 10_000,
     'grpc.keepalive_timeout_ms': 5000,
   });
+  private readonly grpc = this.server.createConnectionInjector(ServerCredentials.createInsecure());
+  private readonly links = new Map<Socket, LinkServer>();
+  private readonly listener: TcpServer = createServer(socket => this.accept(socket));
 
   constructor(private readonly handlers: InnerHandlers) {
     this.server.addService(InnerService, {
-      link: (call: ServerDuplexStream<LinkFrame, LinkFrame>) =>
-        void new LinkServer(call, this.handlers.exchange, this.handlers.isLagging),
       seal: (
         call: { request: SealRequest },
         callback: (error: object | null, answer?: SealAnswer) => void,
@@ -53,19 +53,51 @@
   /** Listens on ip:port and gives the port. */
   async listen(ip: string, port: number): Promise<number> {
     return new Promise((resolve, reject) => {
-      this.server.bindAsync(`${ip}:${String(port)}`, ServerCredentials.createInsecure(), (error, bound) => {
-        if (error) reject(error);
-        else resolve(bound);
-      });
+      this.listener.once('error', reject);
+      this.listener.listen(port, ip, () => resolve((this.listener.address() as AddressInfo).port));
     });
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
+    this.listener.close();
+    for (const link of [...this.links.values()]) link.close();
     const closed = new Promise<void>(resolve => this.server.tryShutdown(() => resolve()));
     const forced = setTimeout(() => this.server.forceShutdown(), SHUTDOWN_MS);
     await closed;
     clearTimeout(forced);
   }
+
+  /** A connection tells by its first byte what it is: gRPC's begin with a text, a frame's length with a zero. */
+  private accept(socket: Socket): void {
+    const dropped = () => socket.destroy();
+    socket.once('error', dropped);
+    socket.setTimeout(FIRST_BYTES_MS, dropped);
+    socket.once('data', (first: Buffer) => {
+      socket.setTimeout(0);
+      socket.off('error', dropped);
+      if (first[0] === GRPC_PREFACE) this.injectGrpc(socket, first);
+      else this.serveLink(socket, first);
+    });
+  }
+
+  private injectGrpc(socket: Socket, first: Buffer): void {
+    socket.pause();
+    socket.unshift(first);
+    this.grpc.injectConnection(socket);
+  }
+
+  private serveLink(socket: Socket, first: Buffer): void {
+    const { exchange, isLagging } = this.handlers;
+    const link = new LinkServer(socket, exchange, isLagging);
+    this.links.set(socket, link);
+    socket.once('close', () => this.links.delete(socket));
+    link.receive(first);
+  }
 }
 
+/** First byte of HTTP/2's preface, "PRI". */
+const GRPC_PREFACE = 0x50;
+/** A peer that has connected says something at once; a connection without a word is closed after so long, ms. */
+const FIRST_BYTES_MS = 5000;
+
 const SHUTDOWN_MS = 500;
--- a/packages/calls/src/link.ts
+++ b/packages/calls/src/link.ts
@@ -1,4 +1,4 @@
-/** The calling end of a link: many calls to one peer over one long-lived gRPC stream. */
+/** The calling end of a link: many calls to one peer over one long-lived connection. */
 import { type CancelSignal, type Clock } from '@cleatquay/clock';
 import {
   type AnswerPart,
@@ -7,10 +7,11 @@
   type RequestHead,
   type RequestPart,
 } from '@cleatquay/protocol';
-import { type ClientDuplexStream } from '@grpc/grpc-js';
+import { type Socket } from 'node:net';
 import { HELD_BYTES } from './answers.js';
 import { type CallAnswer, type CallBody, isLast } from './callHandler.js';
 import { LinkWriter, PartQueue, SendWindow } from './linkParts.js';
+import { LinkStream } from './linkStream.js';
 import { LostContact } from './lostContact.js';
 
 /** How often a link with calls is looked at, ms. */
@@ -33,7 +34,9 @@
 /** One link. It ends when the stream does, or when the peer falls silent. */
 export class Link {
   private readonly calls = new Map<number, LinkedCall>();
+  private readonly stream: LinkStream;
   private readonly writer: LinkWriter;
+  private onFirstFrame: () => void = () => undefined;
   private lastNumber = 0;
   private lastPing = 0;
   private pingedAt = Number.NEGATIVE_INFINITY;
@@ -45,15 +48,24 @@
   constructor(
     private readonly clock: Clock,
     private readonly address: string,
-    private readonly stream: ClientDuplexStream<LinkFrame, LinkFrame>,
+    socket: Socket,
     /** Told once when the link has ended. */
     private readonly onEnd: () => void,
   ) {
     this.heardAt = clock.now();
-    this.writer = new LinkWriter(frame => void stream.write(frame));
-    stream.on('data', (frame: LinkFrame) => this.receive(frame));
-    stream.on('end', () => this.fail('ended the link'));
-    stream.on('error', (error: Error) => this.fail(`broke the link: ${error.message}`));
+    this.stream = new LinkStream(socket, {
+      onFrame: frame => this.receive(frame),
+      onEnd: why => this.fail(why),
+    });
+    this.writer = new LinkWriter(frame => this.stream.write(frame));
+  }
+
+  /** Resolves once the peer has answered: a frozen process lets connections in and then says nothing. */
+  async opened(): Promise<void> {
+    const heard = new Promise<void>(resolve => (this.onFirstFrame = resolve));
+    this.ping(this.clock.now());
+    await heard;
+    if (this.failure) throw new LostContact(this.failure.message, true);
   }
 
   /** Whether calls wait for the peer, or it is not known yet whether it is there. */
@@ -133,8 +145,8 @@
       call.answers.fail(this.failure);
       call.window.close();
     }
-    this.stream.on('error', () => undefined);
-    this.stream.cancel();
+    this.stream.close();
+    this.onFirstFrame();
     this.onEnd();
   }
 
@@ -168,6 +180,7 @@
   private receive({ items }: LinkFrame): void {
     this.heardAt = this.clock.now();
     this.silent = false;
+    this.onFirstFrame();
     for (const item of items) this.take(item);
   }
 
@@ -193,9 +206,11 @@
     const silence = now - this.heardAt;
     if (silence > LOST_MS) return this.fail(`has been silent for ${String(Math.round(silence))} ms`);
     this.silent = silence > SILENT_MS;
-    if (silence > PING_AFTER_MS && now - this.pingedAt > PING_AFTER_MS) {
-      this.pingedAt = now;
-      this.writer.send({ ping: ++this.lastPing });
-    }
+    if (silence > PING_AFTER_MS && now - this.pingedAt > PING_AFTER_MS) this.ping(now);
+  }
+
+  private ping(now: number): void {
+    this.pingedAt = now;
+    this.writer.send({ ping: ++this.lastPing });
   }
 }
--- a/packages/calls/src/linkServer.ts
+++ b/packages/calls/src/linkServer.ts
@@ -2,16 +2,16 @@
 import { CALLER_LEFT, Cancellation } from '@cleatquay/clock';
 import {
   type AnswerPart,
-  type LinkFrame,
   type LinkItem,
   type RequestPart,
   endOf,
   isUsableHead,
   refusalOf,
 } from '@cleatquay/protocol';
-import { type ServerDuplexStream } from '@grpc/grpc-js';
+import { type Socket } from 'node:net';
 import { type CallHandler, isLast } from './callHandler.js';
 import { LinkWriter, PartQueue, SendWindow } from './linkParts.js';
+import { LinkStream } from './linkStream.js';
 import { nextPoll } from './nextPoll.js';
 
 interface ServedCall {
@@ -24,23 +24,30 @@
 export class LinkServer {
   private readonly calls = new Map<number, ServedCall>();
   private readonly writer: LinkWriter;
-  private ended = false;
+  private readonly stream: LinkStream;
 
   constructor(
-    stream: ServerDuplexStream<LinkFrame, LinkFrame>,
+    socket: Socket,
     private readonly handle: CallHandler,
     /** Whether this process is behind with reading: then some callers have left by the time that it gets to them. */
     private readonly isLagging: () => boolean,
   ) {
-    this.writer = new LinkWriter(frame => void (this.ended || stream.write(frame)));
-    const end = () => this.end();
-    stream.on('data', ({ items }: LinkFrame) => items.forEach(item => this.take(item)));
-    stream.on('cancelled', end);
-    stream.on('error', end);
-    stream.on('end', () => {
-      end();
-      stream.end();
+    this.stream = new LinkStream(socket, {
+      onFrame: ({ items }) => items.forEach(item => this.take(item)),
+      onEnd: () => this.end(),
     });
+    this.writer = new LinkWriter(frame => this.stream.write(frame));
+  }
+
+  /** Takes what was read off the connection before this served it. */
+  receive(chunk: Buffer): void {
+    this.stream.receive(chunk);
+  }
+
+  /** Closes the link; its calls are given up. */
+  close(): void {
+    this.stream.close();
+    this.end();
   }
 
   private take(item: LinkItem): void {
@@ -98,7 +105,6 @@
   }
 
   private end(): void {
-    this.ended = true;
     for (const call of this.calls.values()) abandon(call);
   }
 }
--- a/packages/calls/src/peers.ts
+++ b/packages/calls/src/peers.ts
@@ -1,4 +1,4 @@
-/** The other daemons, over gRPC: one client for each, made when first needed. */
+/** The other daemons: a link to each for calls, and a gRPC client for what is rare, made when first needed. */
 import { type CancelSignal, Cancellation, type Clock, NOT_NEEDED, type Timer } from '@cleatquay/clock';
 import {
   type ConfigurationAnswer,
@@ -7,17 +7,16 @@
   type SealAnswer,
   type SealRequest,
 } from '@cleatquay/protocol';
-import { Metadata, type ServiceError, connectivityState, credentials, status } from '@grpc/grpc-js';
+import { splitAddress } from '@cleatquay/settings';
+import { Metadata, type ServiceError, credentials, status } from '@grpc/grpc-js';
+import { connect } from 'node:net';
 import { type CallAnswer, type CallBody } from './callHandler.js';
 import { LINK_CHECK_MS, Link } from './link.js';
 import { LostContact } from './lostContact.js';
 
-/** Bytes under way on a link before HTTP/2 holds the sender back: a few answers of 64 KiB. */
-const LINK_WINDOW_BYTES = 1_048_576;
 const OPTIONS = {
-  // A try is repeated by the forwarder or not at all; gRPC's own retries would also buffer what a link carries.
+  // What is asked by gRPC is repeated by those who ask, or not at all.
   'grpc.enable_retries': 0,
-  'grpc-node.flow_control_window': LINK_WINDOW_BYTES,
   'grpc.client_idle_timeout_ms': 60_000,
   'grpc.initial_reconnect_backoff_ms': 100,
   'grpc.max_reconnect_backoff_ms': 2000,
@@ -43,6 +42,7 @@
   private check: Timer | undefined;
   private readonly clients = new Map<string, InnerClient>();
   private readonly links = new Map<string, Link>();
+  private readonly connecting = new Map<string, Promise<Link>>();
   private readonly lost = new Map<string, Cancellation>();
 
   constructor(
@@ -162,12 +162,8 @@
     while (!signal.aborted) {
       await this.clock.sleep(RETURN_PAUSE_MS, signal);
       if (signal.aborted || this.isCut(address)) continue;
-      const isBack = await this.connected(address).then(
-        () => true,
-        () => false,
-      );
-      if (isBack) return;
-      this.closeClient(address);
+      const link = await this.connect(address).catch(() => undefined);
+      if (link) return;
     }
   }
 
@@ -176,37 +172,40 @@
     this.clients.delete(address);
   }
 
-  /** The link to a peer. When it ends, so does its connection, over which nothing may come through any more. */
-  private async connect(address: string): Promise<Link> {
-    await this.connected(address);
+  /** The link to a peer; calls that come while it is being made share it. */
+  private connect(address: string): Promise<Link> {
     const known = this.links.get(address);
-    if (known) return known;
-    const link = new Link(this.clock, address, this.client(address).link(), () => {
-      this.links.delete(address);
-      this.closeClient(address);
-      this.watchReturn(address);
-    });
-    this.links.set(address, link);
-    return link;
-  }
-
-  /**
-   * Waits for a connection, but not long: a frozen process lets connections in and then says nothing.
-   * Nothing was sent when this fails.
-   */
-  private async connected(address: string): Promise<void> {
-    const channel = this.client(address).getChannel();
-    const deadline = Date.now() + CONNECT_TIMEOUT_MS;
-    for (;;) {
-      const state = channel.getConnectivityState(true);
-      if (state === connectivityState.READY) return;
-      if (state === connectivityState.TRANSIENT_FAILURE)
-        throw new LostContact(`${address} takes no connections.`, true);
-      const changed = await new Promise(resolve => {
-        channel.watchConnectivityState(state, deadline, error => resolve(error === undefined));
-      });
-      if (!changed) throw new LostContact(`${address} lets in connections and says nothing.`, true);
+    if (known) return Promise.resolve(known);
+    let connecting = this.connecting.get(address);
+    if (!connecting) {
+      connecting = this.open(address).finally(() => this.connecting.delete(address));
+      this.connecting.set(address, connecting);
     }
+    return connecting;
+  }
+
+  /** Makes a link and waits for the peer's first word, but not long. Nothing was sent when this fails. */
+  private async open(address: string): Promise<Link> {
+    const { ip, port } = splitAddress(address);
+    const socket = connect({ host: ip, port });
+    const link = new Link(this.clock, address, socket, () => this.linkEnded(address, link));
+    const timer = this.clock.after(CONNECT_TIMEOUT_MS, () => link.fail('does not answer'));
+    try {
+      await link.opened();
+      if (this.isClosed) link.fail('is not needed any more');
+      else this.links.set(address, link);
+      return link;
+    } finally {
+      timer[Symbol.dispose]();
+    }
+  }
+
+  /** When a link ends, so does gRPC's connection, over which nothing may come through any more. */
+  private linkEnded(address: string, link: Link): void {
+    if (this.links.get(address) !== link) return;
+    this.links.delete(address);
+    this.closeClient(address);
+    this.watchReturn(address);
   }
 
   private client(address: string): InnerClient {
--- a/tests/linkServer.spec.ts
+++ b/tests/linkServer.spec.ts
@@ -1,5 +1,5 @@
 import { LinkServer, answerOf } from '@cleatquay/calls';
-import { type LinkItem, endOf, refusalOf } from '@cleatquay/protocol';
+import { LinkFrame, type LinkItem, endOf, refusalOf } from '@cleatquay/protocol';
 import { expect } from 'chai';
 import { EventEmitter } from 'node:events';
 import { CALL_CONTEXT } from './fixtures/callContext.js';
@@ -22,18 +22,37 @@
   },
 };
 
+/** A connection of which the test says what comes. */
+function fakeSocket() {
+  const nothing = () => undefined;
+  return Object.assign(new EventEmitter(), {
+    write: () => true,
+    destroy: nothing,
+    setNoDelay: nothing,
+    setKeepAlive: nothing,
+  });
+}
+
+/** A frame of one item, behind its length. */
+function bytesOf(item: LinkItem): Buffer {
+  const message = LinkFrame.encode({ items: [item] }).finish();
+  const length = Buffer.alloc(4);
+  length.writeUInt32BE(message.length);
+  return Buffer.concat([length, message]);
+}
+
 describe('the called end of a link', () => {
   const handledAfter = async (isLagging: boolean): Promise<number> => {
     let handled = 0;
-    const stream = Object.assign(new EventEmitter(), { write: () => true, end: () => undefined });
+    const socket = fakeSocket();
     const handle = () => {
       handled++;
       return Promise.resolve(answerOf(endOf(refusalOf('overloaded', ''), 0)));
     };
-    expect(new LinkServer(stream as never, handle, () => isLagging)).to.be.instanceOf(LinkServer);
-    stream.emit('data', { items: [REQUEST] });
+    expect(new LinkServer(socket as never, handle, () => isLagging)).to.be.instanceOf(LinkServer);
+    socket.emit('data', bytesOf(REQUEST));
     await new Promise(resolve => setImmediate(resolve));
-    stream.emit('data', { items: [{ ...NOTHING, cancel: true }] });
+    socket.emit('data', bytesOf({ ...NOTHING, cancel: true }));
     for (let turn = 0; turn < 4; turn++) await new Promise(resolve => setImmediate(resolve));
     return handled;
   };
