--- a/packages/calls/src/relay.ts
+++ b/packages/calls/src/relay.ts
@@ -4,14 +4,7 @@
  * whether it may have run.
  */
 import { levelOf } from '@cleatquay/admission';
-import {
-  CALLER_LEFT,
-  type CancelSignal,
-  Cancellation,
-  type Clock,
-  NEVER_CANCELLED,
-  type Random,
-} from '@cleatquay/clock';
+import { CALLER_LEFT, type CancelSignal, Cancellation, type Clock, type Random } from '@cleatquay/clock';
 import { type CallContext, type Refusal, type RequestHead, endOf, refusalOf } from '@cleatquay/protocol';
 import { type HostRoute, type HostRoutes } from '@cleatquay/routes';
 import { type CallAnswer, type CallBody, type CallRoute, answerOf } from './callHandler.js';
@@ -88,8 +81,8 @@
   }
 
   /**
-   * Gives what the forwarder gives until the time is up. An idempotent request is then given up everywhere; another is
-   * left to run, and only its caller is told that the outcome is unknown.
+   * Gives what the forwarder gives until the time is up or the caller has left. The request is then given up everywhere;
+   * one that may run only once and was given to its upstream is left to run there.
    */
   private withinTimeout(
     request: RelayedRequest,
@@ -128,8 +121,7 @@
         this.noteEnd(context.requestId, answer, clock.now() - startedAt);
         resolve(answer);
       };
-      const until = route.idempotent ? given.signal : NEVER;
-      forwarder.forward(callRoute, head, context, body, until).then(settle, (error: unknown) => {
+      forwarder.forward(callRoute, head, context, body, given.signal).then(settle, (error: unknown) => {
         settle(answerOf(endOf(refusalOf('contactLost', `The request broke off: ${String(error)}.`), 0)));
       });
     });
@@ -174,6 +166,3 @@
 
 /** A daemon that has just started, or whose upstreams are being replaced, serves within about half a second. */
 const SOON = { retryAfterMs: 300 };
-
-/** What may run only once runs to its end, whoever leaves. */
-const NEVER = NEVER_CANCELLED;
--- a/packages/calls/src/upstreamDialect.ts
+++ b/packages/calls/src/upstreamDialect.ts
@@ -3,8 +3,8 @@
 import { type IncomingHttpHeaders } from 'node:http';
 import { OWN_HEADERS, headerNames } from './headers.js';
 
-/** What an answer of an upstream says of the request. */
-export type AnswerMeaning = 'answer' | 'not-run';
+/** What an answer of an upstream says of the request: `other-instance` did not run it either. */
+export type AnswerMeaning = 'answer' | 'not-run' | 'other-instance';
 
 /** The marks on requests and answers. */
 export interface UpstreamDialect {
--- a/packages/calls/src/upstreamSide.ts
+++ b/packages/calls/src/upstreamSide.ts
@@ -47,6 +47,8 @@
   readonly instanceId: string;
   /** It takes no connections: it is out until it announces itself again. */
   readonly refusedConnection: () => void;
+  /** Another instance answers at its address: it is gone. */
+  readonly anotherAnswers: () => void;
 }
 
 /** One call that was let in. */
@@ -203,7 +205,9 @@
   private toAnswer(work: Work, call: RunningCall, response: UpstreamAnswer): CallAnswer {
     const { tries, dialect } = this.options;
     const { context, route, upstream, permit } = work;
-    if (dialect.meaningOf(response.status, response.headers) === 'not-run') {
+    const meaning = dialect.meaningOf(response.status, response.headers);
+    if (meaning === 'other-instance') upstream.anotherAnswers();
+    if (meaning !== 'answer') {
       permit.release('shed');
       if (!route.idempotent) tries.notDispatched(context.requestId);
       const shed = refusalOf('shedByUpstream', 'The upstream did not run the request.', SHED_MORE);
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -16,7 +16,8 @@
   ConfigurationWatch,
   type Sections,
 } from '@cleatquay/configuration';
-import { Meeting, type MeetingTable, type Membership } from '@cleatquay/membership';
+import { asFailure } from '@cleatquay/errors';
+import { type KeptState, Meeting, type MeetingTable, type Membership } from '@cleatquay/membership';
 import { type Refusal, type RequestHead, endOf, refusalOf } from '@cleatquay/protocol';
 import { HostRoutes, type RoutePlan } from '@cleatquay/routes';
 import { splitAddress } from '@cleatquay/settings';
@@ -33,7 +34,7 @@
 import { type CallerDialect, RelayGateway } from './relayGateway.js';
 import { type RelayReportParts, relayDump, relayStatus } from './relayReport.js';
 import { type RelaySettings } from './relaySettings.js';
-import { type UpstreamBounds, type Upstreams } from './upstreams.js';
+import { type Announcement, type UpstreamBounds, type Upstreams } from './upstreams.js';
 
 /** How long tries that may run only once are remembered, ms: longer than any caller waits for one. */
 const MEMORY_MS = 60_000;
@@ -152,6 +153,13 @@
     return new Map(this.listening.map(([name, ip, server]) => [name, addressOf(ip, server)]));
   }
 
+  /** An upstream announces itself; one that is new is recorded, so that a restart of this daemon knows it at once. */
+  async announce(announcement: Announcement): Promise<void> {
+    const isKnown = this.upstreams.known.some(({ instanceId }) => instanceId === announcement.instanceId);
+    await this.upstreams.announce(announcement);
+    if (!isKnown) void this.meeting.record();
+  }
+
   /** An upstream says that it leaves: recorded, so that a restart of this daemon doesn't forget it. */
   async leave(instanceId: string): Promise<void> {
     const isNew = !this.upstreams.departures.includes(instanceId);
@@ -174,7 +182,8 @@
   async [Symbol.asyncDispose](): Promise<void> {
     this.membership.leave();
     this.pressure[Symbol.dispose]();
-    this.gateway.server.closeIdleConnections();
+    // No connection is let in from here on: one on which nothing is ever said would be waited for.
+    for (const [, , server] of this.listening) server.close();
     await this.parts.clock.sleep(LAST_BYTES_MS);
     // What is still in flight has had its grace; a server that closes would wait for it.
     for (const [, , server] of this.listening) server.closeAllConnections();
@@ -250,12 +259,25 @@
       random,
       table: installation.meeting,
       membership: this.membership,
-      departures: () => this.upstreams.departures,
-      onFormerDepartures: ids => ids.forEach(id => this.upstreams.leave(id)),
+      kept: () => ({ departures: this.upstreams.departures, upstreams: this.upstreams.known }),
+      onFormer: former => this.takeFormer(former),
       log: (message, facts) => meetingLog.info(facts, `Meeting: ${message}`),
     });
   }
 
+  /** Takes over what an earlier process recorded, unless its upstream has announced itself since. */
+  private takeFormer({ departures, upstreams }: KeptState): void {
+    for (const instanceId of departures) this.upstreams.leave(instanceId);
+    for (const upstream of upstreams) {
+      if (this.upstreams.get(upstream.service) !== undefined) continue;
+      const announcement = { ...upstream, state: 'ready', sequence: 0, warmupLeftMs: 0 };
+      this.upstreams.announce(announcement).catch((error: unknown) => {
+        const reason = asFailure(error).describe();
+        this.parts.log.warn({ reason }, 'Upstreams: A recorded upstream was left out.');
+      });
+    }
+  }
+
   private makeWatch(): ConfigurationWatch {
     const { clock, log, installation } = this.parts;
     const configurationLog = log.child({ part: 'configuration' });
--- a/packages/daemon/src/upstreams.ts
+++ b/packages/daemon/src/upstreams.ts
@@ -2,14 +2,20 @@
 import { Admission } from '@cleatquay/admission';
 import { type LocalUpstream, UpstreamConnections } from '@cleatquay/calls';
 import { type Clock, type Random, type Timer } from '@cleatquay/clock';
+import { type KnownUpstream } from '@cleatquay/membership';
 import { type Upstream } from '@cleatquay/protocol';
 import { check } from '@cleatquay/settings';
 import { type Static, Type } from '@sinclair/typebox';
 
 /** Heartbeats that may be missing before an upstream is taken for gone. */
 const MISSED_HEARTBEATS = 3;
-/** Departed instances that are remembered, so that a late heartbeat of one can't bring it back. */
-const REMEMBERED_DEPARTURES = 100;
+/**
+ * An instance that another one took the place of stays out until that one has missed so many heartbeats: a heartbeat
+ * that was held up on its way may arrive after its sender has ended and the next instance has announced itself.
+ */
+const SILENT_HEARTBEATS = 2;
+/** Instances that ended and are remembered, so that a late heartbeat of one can't bring it back. */
+const REMEMBERED_INSTANCES = 100;
 
 const AnnouncementSchema = Type.Object(
   {
@@ -35,6 +41,8 @@
   isDraining: boolean;
   drainedByOperator: boolean;
   silence: Timer;
+  /** Clock time of its last heartbeat, ms. */
+  heardAt: number;
 }
 
 /** What the registry needs of its daemon. */
@@ -72,6 +80,7 @@
 export class Upstreams implements AsyncDisposable {
   private readonly byService = new Map<string, Announced>();
   private readonly departed = new Set<string>();
+  private readonly replaced = new Set<string>();
 
   constructor(private readonly options: UpstreamsOptions) {}
 
@@ -81,13 +90,33 @@
     const known = this.byService.get(announcement.service);
     if (known && isSame(known.announcement, announcement)) return this.renew(known, announcement);
     if (this.departed.has(announcement.instanceId)) return;
+    if (this.isHeldUp(announcement)) return;
     await this.options.checkAddress(announcement.address);
-    const other = this.byService.get(announcement.service);
-    if (other) this.remove(other, 'Another took its place');
+    for (const other of this.inPlaceOf(announcement)) this.replace(other);
     if (announcement.state === 'draining') this.depart(announcement.instanceId);
     this.add(announcement);
   }
 
+  /** The upstreams that a new one takes the place of: that of its service, and whatever had its address. */
+  private inPlaceOf({ service, address }: Announcement): Announced[] {
+    return [...this.byService.values()].filter(
+      ({ announcement }) => announcement.service === service || announcement.address === address,
+    );
+  }
+
+  private replace(upstream: Announced): void {
+    remember(this.replaced, upstream.announcement.instanceId);
+    this.remove(upstream, 'Another took its place');
+  }
+
+  /** Whether this is a late word of an instance whose successor is being heard. */
+  private isHeldUp(announcement: Announcement): boolean {
+    if (!this.replaced.has(announcement.instanceId)) return false;
+    const { clock, heartbeatMs } = this.options;
+    const oldest = clock.now() - SILENT_HEARTBEATS * heartbeatMs;
+    return this.inPlaceOf(announcement).some(({ heardAt }) => heardAt > oldest);
+  }
+
   /** An instance says that it leaves: it gets no new work from now on, whatever arrives late. */
   leave(instanceId: string): void {
     this.depart(instanceId);
@@ -96,6 +125,20 @@
     }
   }
 
+  /** Upstreams that named their instance, as they announced themselves. */
+  get known(): KnownUpstream[] {
+    return [...this.byService.values()]
+      .map(({ announcement }) => announcement)
+      .filter(({ instanceId }) => instanceId !== '')
+      .map(({ service, address, slots, connections, instanceId }) => ({
+        service,
+        address,
+        slots,
+        connections,
+        instanceId,
+      }));
+  }
+
   /** Instances that said that they leave. */
   get departures(): string[] {
     return [...this.departed];
@@ -176,7 +219,9 @@
       isDraining: this.isLeaving(announcement),
       drainedByOperator: false,
       refusedConnection: () => this.remove(upstream, 'It takes no connections'),
+      anotherAnswers: () => this.replace(upstream),
       silence: this.watch(announcement),
+      heardAt: clock.now(),
       [Symbol.asyncDispose]: async () => {
         upstream.silence[Symbol.dispose]();
         admission[Symbol.dispose]();
@@ -193,6 +238,7 @@
     if (announcement.sequence > 0 && announcement.sequence <= known.announcement.sequence) return;
     known.silence[Symbol.dispose]();
     known.silence = this.watch(announcement);
+    known.heardAt = this.options.clock.now();
     known.announcement = announcement;
     known.admission.limit.announce(this.slotsOf(announcement));
     if (announcement.state === 'draining') this.depart(announcement.instanceId);
@@ -215,9 +261,7 @@
 
   private depart(instanceId: string): void {
     if (instanceId === '') return;
-    this.departed.add(instanceId);
-    const [oldest] = this.departed;
-    if (this.departed.size > REMEMBERED_DEPARTURES && oldest !== undefined) this.departed.delete(oldest);
+    remember(this.departed, instanceId);
   }
 
   /** What it announces, bounded by the configuration in force and by its connections. */
@@ -254,6 +298,13 @@
 /** Stands for no limit on the plain path. */
 const UNLIMITED_SLOTS = 1_000_000;
 
+/** Keeps an instance in mind; the oldest makes room. */
+function remember(instances: Set<string>, instanceId: string): void {
+  instances.add(instanceId);
+  const [oldest] = instances;
+  if (instances.size > REMEMBERED_INSTANCES && oldest !== undefined) instances.delete(oldest);
+}
+
 function isSame(a: Announcement, b: Announcement): boolean {
   return a.address === b.address && a.instanceId === b.instanceId;
 }
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -5,4 +5,11 @@
 export { Membership, type MembershipOptions } from './membership.js';
 export { MemberTable } from './memberTable.js';
 export { type Datagrams, UdpDatagrams } from './datagrams.js';
-export { Meeting, type MeetingOptions, type MeetingRow, type MeetingTable } from './meeting.js';
+export {
+  type KeptState,
+  type KnownUpstream,
+  Meeting,
+  type MeetingOptions,
+  type MeetingRow,
+  type MeetingTable,
+} from './meeting.js';
--- a/packages/membership/src/meeting.ts
+++ b/packages/membership/src/meeting.ts
@@ -17,6 +17,17 @@
 /** How long a departure may wait for the table, ms; its upstream waits a second for the answer. */
 const RECORD_TIMEOUT_MS = 400;
 
+/** An upstream as its daemon last knew it. */
+export interface KnownUpstream {
+  readonly service: string;
+  /** ip:port */
+  readonly address: string;
+  readonly slots: number;
+  readonly connections: number;
+  /** Names this start of the upstream. */
+  readonly instanceId: string;
+}
+
 /** What a daemon keeps about itself. */
 export interface MeetingRow {
   /** ip:port of the inner protocol, the key of the row. */
@@ -25,8 +36,13 @@
   readonly gossipAddress: string;
   /** Instances of upstreams that announced to this daemon that they leave. */
   readonly departures: readonly string[];
+  /** The upstreams beside the daemon, so that a restarted one need not wait for their next heartbeat. */
+  readonly upstreams: readonly KnownUpstream[];
 }
 
+/** What of a row outlives the process that wrote it. */
+export type KeptState = Pick<MeetingRow, 'departures' | 'upstreams'>;
+
 /** The shared table. Every call may fail, also after it took effect. */
 export interface MeetingTable {
   readonly list: (signal: AbortSignal) => Promise<readonly MeetingRow[]>;
@@ -40,10 +56,10 @@
   readonly random: Random;
   readonly table: MeetingTable;
   readonly membership: Membership;
-  /** Instances that left, to be kept in this daemon's row. */
-  readonly departures: () => readonly string[];
-  /** Told once of the departures that an earlier process of this daemon had recorded. */
-  readonly onFormerDepartures: (instanceIds: readonly string[]) => void;
+  /** What is to be kept in this daemon's row. */
+  readonly kept: () => KeptState;
+  /** Told once what an earlier process of this daemon had recorded. */
+  readonly onFormer: (former: KeptState) => void;
   readonly log: (message: string, facts: object) => void;
 }
 
@@ -119,8 +135,9 @@
   }
 
   private take(rows: readonly MeetingRow[]): void {
-    const { membership, onFormerDepartures } = this.options;
-    if (!this.hasRead) onFormerDepartures(rows.find(row => row.address === this.self)?.departures ?? []);
+    const { membership, onFormer } = this.options;
+    const own = rows.find(row => row.address === this.self);
+    if (!this.hasRead && own) onFormer(own);
     this.hasRead = true;
     membership.meet(rows.map(row => row.gossipAddress).filter(a => a !== membership.me.gossipAddress));
   }
@@ -152,6 +169,6 @@
 
   private row(): MeetingRow {
     const { address, gossipAddress } = this.options.membership.me;
-    return { address, gossipAddress, departures: this.options.departures() };
+    return { address, gossipAddress, ...this.options.kept() };
   }
 }
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -71,11 +71,14 @@
     };
   }
 
-  /** The level from which on every upstream of the service refuses calls to `route`. */
+  /**
+   * The level from which on every upstream of the service refuses calls to `route`; 0 if none is in contact, since work
+   * that needs it would be done in vain.
+   */
   levelFor(service: string, route: string): number {
     const { near, far } = this.subset(service);
-    const levels = [...near, ...far].map(c => this.statisticsOf(c.address).levelFor(route));
-    return levels.length === 0 ? Number.MAX_VALUE : Math.max(...levels);
+    const levels = this.inContact([...near, ...far]).map(c => this.statisticsOf(c.address).levelFor(route));
+    return Math.max(0, ...levels);
   }
 
   /** A call to the candidate starts; call the result when it has ended. */
@@ -121,10 +124,15 @@
     return this.lessBusy(first, second);
   }
 
+  private inContact(candidates: Candidate[]): Candidate[] {
+    const { contactOf = () => 'good' } = this.options;
+    return candidates.filter(candidate => contactOf(candidate) !== 'lost');
+  }
+
   /** Leaves out those that are out of contact, and unless all are, those that are silent or were just out of reach. */
   private reachable(candidates: Candidate[]): Candidate[] {
     const { contactOf = () => 'good' } = this.options;
-    const inContact = candidates.filter(c => contactOf(c) !== 'lost');
+    const inContact = this.inContact(candidates);
     const reachable = inContact.filter(
       c => contactOf(c) === 'good' && !this.statisticsOf(c.address).isAvoided,
     );
--- a/packages/standins/src/platform/upstreamOfPlatform.ts
+++ b/packages/standins/src/platform/upstreamOfPlatform.ts
@@ -75,6 +75,7 @@
   private readonly server: Server;
   private readonly slots = new Slots(() => this.behaviour.slots);
   private readonly stopped = new AbortController();
+  private isAnnouncing = false;
   private sequence = 0;
   private calls = 0;
   address = '';
@@ -123,8 +124,9 @@
 
   /** Announces itself again and again until it is disposed of. */
   keepAnnouncing(everyMs: number): void {
+    this.isAnnouncing = true;
     const again = async (): Promise<void> => {
-      while (!this.stopped.signal.aborted) {
+      while (!this.stopped.signal.aborted && this.isAnnouncing) {
         await this.announce().catch(() => 0);
         await sleep(everyMs, undefined, { signal: this.stopped.signal }).catch(() => undefined);
       }
@@ -132,6 +134,11 @@
     void again();
   }
 
+  /** Announces itself no more by itself. */
+  stopAnnouncing(): void {
+    this.isAnnouncing = false;
+  }
+
   /** Says that it leaves. */
   leave(): Promise<number> {
     return this.post('leave', '');
--- a/tests/platformLifetimes.spec.ts
+++ b/tests/platformLifetimes.spec.ts
@@ -38,6 +38,27 @@
     expect(row).to.contain(upstream.instanceId);
   });
 
+  it('are known to a restarted daemon before they announce themselves again', async () => {
+    const [node] = fleet.nodes;
+    const { instanceId } = node!.upstream;
+    await until(
+      () => fleet.store.text('daemons', node!.daemon.membership.me.address)?.includes(instanceId) === true,
+    );
+    node!.upstream.stopAnnouncing();
+    await fleet.restart(node!);
+    await until(() => node!.daemon.isReady);
+    expect(node!.daemon.upstreams.known.map(known => known.instanceId)).to.deep.equal([instanceId]);
+  });
+
+  it('that left are not known to a restarted daemon', async () => {
+    const [node] = fleet.nodes;
+    node!.upstream.stopAnnouncing();
+    await node!.upstream.leave();
+    await fleet.restart(node!);
+    await until(() => node!.daemon.isReady);
+    expect([...(await stampsOf(20))]).to.deep.equal(['i-1']);
+  });
+
   it('that end are out at their first refused connection, and the request goes elsewhere', async () => {
     await fleet.nodes[0]!.upstream[Symbol.asyncDispose]();
     expect([...(await stampsOf(20))]).to.deep.equal(['i-1']);
--- a/tests/platformTruth.spec.ts
+++ b/tests/platformTruth.spec.ts
@@ -28,6 +28,9 @@
 
   after(() => fleet[Symbol.asyncDispose]());
 
+  // An upstream at whose address another instance answered is out until it announces itself again.
+  beforeEach(() => fleet.settle());
+
   const setFaults = (faultOf: (requestId: string) => UpstreamFault) => {
     for (const { upstream } of fleet.nodes) upstream.behaviour.fault = faultOf;
   };
--- a/tests/routing.spec.ts
+++ b/tests/routing.spec.ts
@@ -105,6 +105,28 @@
     expect(chosen(2.9)).to.not.equal('refused');
   });
 
+  describe('the level of a service', () => {
+    it('is open while one of its upstreams is in contact, and closed when none is', () => {
+      const lost = new Set<string>();
+      router = new Router({
+        clock,
+        random: seededRandom('routing'),
+        directory,
+        self: 'me',
+        failureDomain: 'a',
+        contactOf: ({ address }) => (lost.has(address) ? 'lost' : 'good'),
+      });
+      ['1', '2'].forEach(name => lost.add(`127.0.0.1:${name}`));
+      expect(router.levelFor('s', 's.run')).to.equal(Number.MAX_VALUE);
+      lost.add('127.0.0.1:3');
+      expect(router.levelFor('s', 's.run')).to.equal(0);
+    });
+
+    it('is closed when it has no upstream at all', () => {
+      expect(router.levelFor('unknown', 'unknown.run')).to.equal(0);
+    });
+  });
+
   it('backs off from an upstream out of reach', () => {
     router.started('127.0.0.1:1')('unreachable');
     expect(shares()).to.not.have.any.keys('127.0.0.1:1');
--- /dev/null
+++ b/tests/upstreams.spec.ts
@@ -0,0 +1,80 @@
+import { ManualClock } from '@cleatquay/clock';
+import { type Announcement, Upstreams } from '@cleatquay/daemon';
+import { expect } from 'chai';
+
+const HEARTBEAT_MS = 1500;
+
+describe('the upstreams of a daemon', () => {
+  let clock: ManualClock;
+  let upstreams: Upstreams;
+  let sequence: number;
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    sequence = 0;
+    upstreams = new Upstreams({
+      clock,
+      random: () => 0.5,
+      protection: true,
+      heartbeatMs: HEARTBEAT_MS,
+      slowStart: false,
+      classes: () => 1,
+      bounds: () => ({ maxQueueMs: 50 }),
+      checkAddress: () => Promise.resolve(),
+      onChange: () => undefined,
+      log: () => undefined,
+    });
+  });
+
+  afterEach(() => upstreams[Symbol.asyncDispose]());
+
+  const beat = (instanceId: string, change: Partial<Announcement> = {}) =>
+    upstreams.announce({
+      service: 'history',
+      address: '127.0.0.1:1',
+      slots: 2,
+      connections: 2,
+      state: 'ready',
+      warmupLeftMs: 0,
+      sequence: ++sequence,
+      instanceId,
+      ...change,
+    });
+  const known = () => upstreams.known.map(({ service, instanceId }) => `${service} ${instanceId}`);
+
+  describe('a heartbeat that was held up until the next instance had announced itself', () => {
+    it('does not bring its sender back', async () => {
+      await beat('first');
+      await beat('second');
+      await beat('first', { sequence: 100 });
+      clock.advance(HEARTBEAT_MS);
+      await beat('second', { sequence: 101 });
+      await beat('first', { sequence: 102 });
+      expect(known()).to.deep.equal(['history second']);
+    });
+
+    it('is taken when the next one has fallen silent: then the sender lives', async () => {
+      await beat('first');
+      await beat('second');
+      clock.advance(2 * HEARTBEAT_MS);
+      await beat('first');
+      expect(known()).to.deep.equal(['history first']);
+    });
+  });
+
+  describe('an address', () => {
+    it('belongs to whoever announced it last, of whatever service', async () => {
+      await beat('first');
+      await beat('second', { service: 'alarms' });
+      expect(known()).to.deep.equal(['alarms second']);
+    });
+
+    it("at which another instance answers is nobody's until somebody announces it", async () => {
+      await beat('first');
+      upstreams.get('history')?.anotherAnswers();
+      expect(known()).to.deep.equal([]);
+      await beat('second');
+      expect(known()).to.deep.equal(['history second']);
+    });
+  });
+});
