Serve on until the platform has seen a daemon leave, and keep its HTTP servers in a part of their own

Cause: a daemon that is told to end stopped giving its upstream work 1.3 s after that, but ended and was started again only after 2.3 s: for a second nothing was gained by it, and with several VMs of a service restarting, calls failed. Change: the upstream serves until the platform has seen twice that the daemon is not ready, then drains; at half of a shorter grace at the latest.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -18,9 +18,7 @@
 import { type Membership } from '@cleatquay/membership';
 import { CallGraph, type ProcessSettings } from '@cleatquay/settings';
 import { HttpStore } from '@cleatquay/store';
-import { type Service, type ServiceBroker } from 'moleculer';
-import { type Server } from 'node:http';
-import { type AddressInfo } from 'node:net';
+import { type ServiceBroker } from 'moleculer';
 import { type Logger } from 'pino';
 import { writeHttpParserError } from './callerAnswer.js';
 import { callerGateway } from './callerGateway.js';
@@ -29,6 +27,7 @@
 import { Faults } from './faults.js';
 import { Metrics } from './metrics.js';
 import { operatorGateway } from './operatorGateway.js';
+import { addressOf, serverOf } from './httpListeners.js';
 import { quietBroker } from './quietBroker.js';
 import { isReader } from './readers.js';
 import { checkListening, checkSameVm } from './upstreamAddress.js';
@@ -259,12 +258,3 @@
     return { ...parts, home, tries, running, peers, inFlight };
   }
 }
-
-/** The HTTP server that moleculer-web made for a service. */
-function serverOf(service: Service): Server {
-  return (service as Service & { server: Server }).server;
-}
-
-function addressOf(ip: string, server: Server): string {
-  return `${ip}:${String((server.address() as AddressInfo).port)}`;
-}
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -20,14 +20,11 @@
 import { type KeptState, Meeting, type MeetingTable, type Membership } from '@cleatquay/membership';
 import { type Refusal, type RequestHead, endOf, refusalOf } from '@cleatquay/protocol';
 import { HostRoutes, type RoutePlan } from '@cleatquay/routes';
-import { splitAddress } from '@cleatquay/settings';
-import { type Service, type ServiceBroker } from 'moleculer';
-import ApiGateway from 'moleculer-web';
-import { type IncomingMessage, type Server, type ServerResponse, createServer } from 'node:http';
-import { type AddressInfo } from 'node:net';
+import { type ServiceBroker } from 'moleculer';
+import { type IncomingMessage, type ServerResponse, createServer } from 'node:http';
 import { type Logger } from 'pino';
 import { Core } from './core.js';
-import { gatewaySettings } from './gatewaySettings.js';
+import { HttpListeners, addressOf, serverOf } from './httpListeners.js';
 import { Metrics } from './metrics.js';
 import { operatorGateway } from './operatorGateway.js';
 import { quietBroker } from './quietBroker.js';
@@ -40,9 +37,10 @@
 const MEMORY_MS = 60_000;
 /** How long the own watch has to bring a version that a peer has, before the peer is asked, ms. */
 const PEER_PATIENCE_MS = 400;
-/** Time after the request to end in which callers are told to go elsewhere and the own upstream still serves, ms. */
-const SERVE_ON_MS = 1300;
-/** Time after which the platform has seen twice that this daemon is not ready, ms: it asks every second. */
+/**
+ * Time after which the platform has seen twice that this daemon is not ready, ms: it asks every second. The own upstream
+ * serves until then: what it stops sooner it would do without for longer, since the next process starts no earlier.
+ */
 const UNREADY_SEEN_MS = 2300;
 /** Calls in flight are looked at so often while the daemon ends, ms. */
 const DRAIN_CHECK_MS = 25;
@@ -97,7 +95,7 @@
   private meeting!: Meeting;
   private watch!: ConfigurationWatch;
   private spread!: ConfigurationSpread;
-  private readonly listening: [name: string, ip: string, server: Server][] = [];
+  private readonly listeners = new HttpListeners(this.broker);
   private inFlight = 0;
   /** Importance classes of the configuration in force. */
   private classes = 1;
@@ -150,7 +148,7 @@
 
   /** Where its listeners are, by name. */
   get addresses(): ReadonlyMap<string, string> {
-    return new Map(this.listening.map(([name, ip, server]) => [name, addressOf(ip, server)]));
+    return this.listeners.addresses;
   }
 
   /** An upstream announces itself; one that is new is recorded, so that a restart of this daemon knows it at once. */
@@ -172,21 +170,19 @@
     const { clock, settings } = this.parts;
     const start = clock.now();
     this.leavingSince = start;
-    await clock.sleep(SERVE_ON_MS);
-    this.upstreams.setDraining(true);
     const end = start + settings.graceMs * GRACE_PART;
-    const isDone = () => clock.now() - start > UNREADY_SEEN_MS && this.isIdle();
-    while (!isDone() && clock.now() < end) await clock.sleep(DRAIN_CHECK_MS);
+    await clock.sleep(Math.min(UNREADY_SEEN_MS, settings.graceMs / 2));
+    this.upstreams.setDraining(true);
+    while (!this.isIdle() && clock.now() < end) await clock.sleep(DRAIN_CHECK_MS);
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
     this.membership.leave();
     this.pressure[Symbol.dispose]();
-    // No connection is let in from here on: one on which nothing is ever said would be waited for.
-    for (const [, , server] of this.listening) server.close();
+    this.listeners.stopAccepting();
     await this.parts.clock.sleep(LAST_BYTES_MS);
     // What is still in flight has had its grace; a server that closes would wait for it.
-    for (const [, , server] of this.listening) server.closeAllConnections();
+    this.listeners.closeConnections();
     await this.broker.stop();
     await this.watch[Symbol.asyncDispose]();
     await this.meeting[Symbol.asyncDispose]();
@@ -307,12 +303,9 @@
 
   private async serve(): Promise<void> {
     const { settings, clock, installation } = this.parts;
-    const callers = splitAddress(settings.callers);
-    this.listen('callers', callers.ip, callers.port, this.gateway.server);
-    for (const { name, address, handle } of installation.listeners(this)) {
-      const { ip, port } = splitAddress(address);
-      this.listen(name, ip, port, createServer(handle));
-    }
+    this.listeners.add('callers', settings.callers, this.gateway.server);
+    for (const { name, address, handle } of installation.listeners(this))
+      this.listeners.add(name, address, createServer(handle));
     const operators = this.broker.createService(
       operatorGateway({
         ip: settings.ip,
@@ -335,21 +328,6 @@
     void Promise.race([this.meeting.met, clock.sleep(MEETING_PATIENCE_MS)]).then(() => (this.hasMet = true));
   }
 
-  /** moleculer-web listens and closes; the server answers by itself, since there is one handler and no routing. */
-  private listen(name: string, ip: string, port: number, server: Server): void {
-    this.listening.push([name, ip, server]);
-    this.broker.createService({
-      name,
-      mixins: [ApiGateway],
-      settings: { ...gatewaySettings(ip, port), routes: [] },
-      methods: {
-        createServer(this: Service & { server: Server }) {
-          this.server = server;
-        },
-      },
-    });
-  }
-
   private tookGeneration(generation: number): void {
     const routes = this.configuration.inForce?.plan.routes ?? [];
     this.classes = routes.reduce((most, { rank }) => Math.max(most, rank + 1), 1);
@@ -382,12 +360,3 @@
   if (!context) return undefined;
   return { name: context.route, service, idempotent: context.idempotent, calls: [] };
 }
-
-/** The HTTP server that moleculer-web made for a service. */
-function serverOf(service: Service): Server {
-  return (service as Service & { server: Server }).server;
-}
-
-function addressOf(ip: string, server: Server): string {
-  return `${ip}:${String((server.address() as AddressInfo).port)}`;
-}
