Ask a recorded upstream for its health before it is taken over

Change: what the row names is asked for its health first, and taken over only if it answers well and as the same instance; takeOver has a module of its own.

--- a/packages/calls/src/upstreamDialect.ts
+++ b/packages/calls/src/upstreamDialect.ts
@@ -14,6 +14,8 @@
   readonly dropped: ReadonlySet<string>;
   /** Whether an answer with these headers is one to the request. */
   readonly isOwnAnswer: (status: number, headers: IncomingHttpHeaders, context: CallContext) => boolean;
+  /** The instance that an answer to a health check names; undefined if it names none. */
+  readonly instanceOf: (headers: IncomingHttpHeaders) => string | undefined;
   /** Whether the upstream ran the request or says that it didn't. */
   readonly meaningOf: (status: number, headers: IncomingHttpHeaders) => AnswerMeaning;
 }
@@ -30,6 +32,7 @@
   ],
   dropped: OWN_HEADERS,
   isOwnAnswer: () => true,
+  instanceOf: () => undefined,
   meaningOf: (status, headers) =>
     SHED.includes(status) && headers[headerNames.notRun] !== undefined ? 'not-run' : 'answer',
 };
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -16,7 +16,6 @@
   ConfigurationWatch,
   type Sections,
 } from '@cleatquay/configuration';
-import { asFailure } from '@cleatquay/errors';
 import { type KeptState, Meeting, type MeetingTable, type Membership } from '@cleatquay/membership';
 import { type Refusal, type RequestHead, endOf, refusalOf } from '@cleatquay/protocol';
 import { HostRoutes, type RoutePlan } from '@cleatquay/routes';
@@ -24,6 +23,7 @@
 import { type IncomingMessage, type ServerResponse, createServer } from 'node:http';
 import { type Logger } from 'pino';
 import { Core } from './core.js';
+import { takeOver } from './formerUpstreams.js';
 import { HttpListeners, addressOf, serverOf } from './httpListeners.js';
 import { Metrics } from './metrics.js';
 import { operatorGateway } from './operatorGateway.js';
@@ -261,17 +261,19 @@
     });
   }
 
-  /** Takes over what an earlier process recorded, unless its upstream has announced itself since. */
+  /** Takes over what an earlier process recorded. */
   private takeFormer({ departures, upstreams }: KeptState): void {
+    const { settings, clock, log, installation } = this.parts;
     for (const instanceId of departures) this.upstreams.leave(instanceId);
-    for (const upstream of upstreams) {
-      if (this.upstreams.get(upstream.service) !== undefined) continue;
-      const announcement = { ...upstream, state: 'ready', sequence: 0, warmupLeftMs: 0 };
-      this.upstreams.announce(announcement).catch((error: unknown) => {
-        const reason = asFailure(error).describe();
-        this.parts.log.warn({ reason }, 'Upstreams: A recorded upstream was left out.');
-      });
-    }
+    void takeOver(upstreams, {
+      clock,
+      heartbeatMs: settings.heartbeatMs,
+      instanceOf: installation.upstreams.instanceOf,
+      healthPath: service => this.configuration.inForce?.service(service)?.healthPath,
+      isKnown: service => this.upstreams.get(service) !== undefined,
+      announce: announcement => this.upstreams.announce(announcement),
+      log: (message, facts) => log.info(facts, `Upstreams: ${message}`),
+    });
   }
 
   private makeWatch(): ConfigurationWatch {
--- a/packages/standins/src/platform/upstreamOfPlatform.ts
+++ b/packages/standins/src/platform/upstreamOfPlatform.ts
@@ -76,6 +76,7 @@
   private readonly slots = new Slots(() => this.behaviour.slots);
   private readonly stopped = new AbortController();
   private isAnnouncing = false;
+  private isLeaving = false;
   private sequence = 0;
   private calls = 0;
   address = '';
@@ -141,6 +142,7 @@
 
   /** Says that it leaves. */
   leave(): Promise<number> {
+    this.isLeaving = true;
     return this.post('leave', '');
   }
 
@@ -162,7 +164,10 @@
 
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const requestId = String(request.headers['request-id'] ?? '');
-    if (request.url === '/health') return this.end(response, 200, requestId, 'well');
+    if (request.url === '/health')
+      return this.end(response, this.isLeaving ? 503 : 200, requestId, 'health', {
+        'Instance-Id': this.instanceId,
+      });
     const arrival: Arrival = {
       requestId,
       path: request.url ?? '',
--- a/tests/platformLifetimes.spec.ts
+++ b/tests/platformLifetimes.spec.ts
@@ -46,10 +46,23 @@
     );
     node!.upstream.stopAnnouncing();
     await fleet.restart(node!);
-    await until(() => node!.daemon.isReady);
+    await until(() => node!.daemon.upstreams.known.length > 0);
     expect(node!.daemon.upstreams.known.map(known => known.instanceId)).to.deep.equal([instanceId]);
   });
 
+  it('that left while the store was away are not known to a restarted daemon either', async () => {
+    const [node] = fleet.nodes;
+    const { address } = node!.daemon.membership.me;
+    await until(() => fleet.store.text('daemons', address)?.includes(node!.upstream.instanceId) === true);
+    const before = fleet.store.text('daemons', address)!;
+    node!.upstream.stopAnnouncing();
+    await node!.upstream.leave();
+    fleet.store.put('daemons', address, before);
+    await fleet.restart(node!);
+    await until(() => fleet.logged.some(({ msg }) => msg.includes('is not there any more')));
+    expect(node!.daemon.upstreams.known).to.deep.equal([]);
+  });
+
   it('that left are not known to a restarted daemon', async () => {
     const [node] = fleet.nodes;
     node!.upstream.stopAnnouncing();
