Record nothing before the row was read, and only what is new

Cause: found in reading the diff. Since upstreams are recorded, the first heartbeat after a restart wrote the daemon's row before the meeting had read what an earlier process kept there, and so lost its departures; each heartbeat of an instance that was not taken wrote the row once more. Change: nothing is written before the first read, whose round writes both; a heartbeat is recorded only if it made its instance known. Test: meeting.spec.ts, seen to fail without the change.

--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -153,9 +153,11 @@
 
   /** An upstream announces itself; one that is new is recorded, so that a restart of this daemon knows it at once. */
   async announce(announcement: Announcement): Promise<void> {
-    const isKnown = this.upstreams.known.some(({ instanceId }) => instanceId === announcement.instanceId);
+    const isKnown = () =>
+      this.upstreams.known.some(({ instanceId }) => instanceId === announcement.instanceId);
+    const wasKnown = isKnown();
     await this.upstreams.announce(announcement);
-    if (!isKnown) void this.meeting.record();
+    if (!wasKnown && isKnown()) void this.meeting.record();
   }
 
   /** An upstream says that it leaves: recorded, so that a restart of this daemon doesn't forget it. */
--- a/packages/membership/src/meeting.ts
+++ b/packages/membership/src/meeting.ts
@@ -82,9 +82,13 @@
     this.running = this.keep();
   }
 
-  /** Records what has changed about this daemon, if the table answers soon. */
+  /**
+   * Records what has changed about this daemon, if the table answers soon. Before the first read nothing is written,
+   * since the row still has what an earlier process recorded; the round that reads it writes both.
+   */
   async record(): Promise<void> {
     const { clock, log } = this.options;
+    if (!this.hasRead) return;
     const limit = new AbortController();
     const timer = clock.after(RECORD_TIMEOUT_MS, () => limit.abort(new Error('The table took too long.')));
     try {
--- /dev/null
+++ b/tests/meeting.spec.ts
@@ -0,0 +1,54 @@
+import { ManualClock } from '@cleatquay/clock';
+import { type KeptState, Meeting, type MeetingRow, type Membership } from '@cleatquay/membership';
+import { expect } from 'chai';
+
+const SELF = '127.0.0.1:1';
+const FORMER: MeetingRow = { address: SELF, gossipAddress: SELF, departures: ['left'], upstreams: [] };
+
+/** As much of a membership as a meeting asks of one that knows nobody. */
+const membership = {
+  me: { address: SELF, gossipAddress: SELF },
+  meet: () => undefined,
+  aliveCount: () => 0,
+  table: new Map(),
+} as unknown as Membership;
+
+describe('the row of a daemon', () => {
+  let rows: MeetingRow[];
+  let kept: KeptState;
+  let letRead: () => void;
+  let meeting: Meeting;
+
+  beforeEach(() => {
+    rows = [FORMER];
+    kept = { departures: [], upstreams: [] };
+    const mayRead = new Promise<void>(resolve => (letRead = resolve));
+    meeting = new Meeting({
+      clock: new ManualClock(),
+      random: () => 0.5,
+      membership,
+      table: {
+        list: async () => {
+          await mayRead;
+          return rows;
+        },
+        put: row => Promise.resolve(void (rows = [row])),
+        remove: () => Promise.resolve(),
+      },
+      kept: () => kept,
+      onFormer: former => (kept = former),
+      log: () => undefined,
+    });
+  });
+
+  afterEach(() => meeting[Symbol.asyncDispose]());
+
+  it('keeps what an earlier process recorded, though something is recorded before it was read', async () => {
+    meeting.start();
+    await meeting.record();
+    expect(rows).to.deep.equal([FORMER]);
+    letRead();
+    await meeting.met;
+    expect(rows[0]?.departures).to.deep.equal(['left']);
+  });
+});
