--- a/packages/calls/src/linkParts.ts
+++ b/packages/calls/src/linkParts.ts
@@ -3,7 +3,7 @@
 
 /** Parts of one call that may be under way without having been taken; with 64 KiB parts, 256 KiB a call. */
 const WINDOW_PARTS = 4;
-/** A frame is written early beyond so many bytes, well below the largest gRPC message. */
+/** A frame is written early beyond so many bytes, well below the longest that a peer takes. */
 const FRAME_BYTES = 512 * 1024;
 
 const EMPTY_ITEM: LinkItem = {
@@ -16,7 +16,7 @@
   pong: 0,
 };
 
-/** Gathers the items of one turn of the event loop into one frame, which costs one message of gRPC. */
+/** Gathers the items of one turn of the event loop into one frame, which costs one write. */
 export class LinkWriter {
   private pending: LinkItem[] = [];
   private bytes = 0;
