Send what heads on a link have in common once, and a request's id once

Change: a link keeps up to 256 templates of heads (service, method, route, headers, origin, process); a head names one, and the root's id by its length. The request's id isn't among the headers any more, nor that and the load among those of answers. Measured: a call's head frame 146 bytes before (178 with the id among its headers), 60 after.

--- a/packages/calls/src/index.ts
+++ b/packages/calls/src/index.ts
@@ -42,6 +42,13 @@
 export { type FleetRetryBounds, FleetRetryBudget } from './fleetRetryBudget.js';
 export { Relay, type RelayOptions, type RelayedRequest } from './relay.js';
 export { type CalledRoute, LearnedCalls } from './learnedCalls.js';
+export {
+  MOST_TEMPLATES,
+  NO_HEAD,
+  ReceivedTemplates,
+  SentTemplates,
+  type TravellingHead,
+} from './headTemplates.js';
 export { LinkServer } from './linkServer.js';
 export { LinkStream, type LinkStreamEvents } from './linkStream.js';
 export { nextPoll } from './nextPoll.js';
--- a/packages/calls/src/link.ts
+++ b/packages/calls/src/link.ts
@@ -10,6 +10,7 @@
 import { type Socket } from 'node:net';
 import { HELD_BYTES } from './answers.js';
 import { type CallAnswer, type CallBody, answerOf, isLast } from './callHandler.js';
+import { NO_HEAD, SentTemplates } from './headTemplates.js';
 import { LinkWriter, PartQueue, SendWindow } from './linkParts.js';
 import { LinkStream } from './linkStream.js';
 import { LostContact } from './lostContact.js';
@@ -40,6 +41,7 @@
 /** One link. It ends when the stream does, or when the peer falls silent. */
 export class Link {
   private readonly calls = new Map<number, LinkedCall>();
+  private readonly templates = new SentTemplates();
   private readonly stream: LinkStream;
   private readonly writer: LinkWriter;
   private onFirstFrame: () => void = () => undefined;
@@ -120,8 +122,10 @@
       };
       this.calls.set(number, call);
       signal.addEventListener('abort', abandon, { once: true });
-      if (Buffer.isBuffer(body)) this.writer.send({ call: number, request: { head, body, last: true } });
-      else this.sendStream(number, call, head, body).catch(abandon);
+      if (Buffer.isBuffer(body)) {
+        const request: RequestPart = { ...this.templates.shorten(head), body, last: true };
+        this.writer.send({ call: number, request });
+      } else this.sendStream(number, call, head, body).catch(abandon);
     });
   }
 
@@ -171,8 +175,11 @@
     let bytes = 0;
     let headToSend: RequestHead | undefined = head;
     const flush = (last: boolean) => {
-      const request: RequestPart = { head: headToSend, body: Buffer.concat(pending), last };
-      if (this.calls.has(number)) this.writer.send({ call: number, request });
+      if (this.calls.has(number)) {
+        const travelling = headToSend ? this.templates.shorten(headToSend) : NO_HEAD;
+        const request: RequestPart = { ...travelling, body: Buffer.concat(pending), last };
+        this.writer.send({ call: number, request });
+      }
       headToSend = undefined;
       pending = [];
       bytes = 0;
--- a/packages/calls/src/linkServer.ts
+++ b/packages/calls/src/linkServer.ts
@@ -3,6 +3,7 @@
 import {
   type AnswerPart,
   type LinkItem,
+  type RequestHead,
   type RequestPart,
   endOf,
   isUsableHead,
@@ -10,6 +11,7 @@
 } from '@cleatquay/protocol';
 import { type Socket } from 'node:net';
 import { type CallHandler, isLast } from './callHandler.js';
+import { ReceivedTemplates } from './headTemplates.js';
 import { LinkWriter, PartQueue, SendWindow } from './linkParts.js';
 import { LinkStream } from './linkStream.js';
 import { nextPoll } from './nextPoll.js';
@@ -25,6 +27,7 @@
 /** Serves the calls of one link, each in a task of its own, until the peer ends it. */
 export class LinkServer {
   private readonly calls = new Map<number, ServedCall>();
+  private readonly templates = new ReceivedTemplates();
   private readonly writer: LinkWriter;
   private readonly stream: LinkStream;
 
@@ -59,10 +62,10 @@
     if (item.cancel && known) abandon(known);
     if (!item.request) return;
     if (known) known.parts?.push(item.request);
-    else if (item.request.head) this.begin(item.call, item.request);
+    else if (item.request.head) this.begin(item.call, item.request, this.templates.restore(item.request));
   }
 
-  private begin(number: number, first: RequestPart): void {
+  private begin(number: number, first: RequestPart, head: RequestHead | undefined): void {
     const call: ServedCall = {
       parts: first.last ? undefined : new PartQueue(),
       window: undefined,
@@ -70,13 +73,17 @@
     };
     call.parts?.push(first);
     this.calls.set(number, call);
-    void this.serve(number, call, first).finally(() => this.calls.delete(number));
+    void this.serve(number, call, first, head).finally(() => this.calls.delete(number));
   }
 
   /** One call. A handler that goes on after its caller left is let run to its end, so that it can keep the answer. */
-  private async serve(number: number, call: ServedCall, first: RequestPart): Promise<void> {
+  private async serve(
+    number: number,
+    call: ServedCall,
+    first: RequestPart,
+    head: RequestHead | undefined,
+  ): Promise<void> {
     const { parts, gone } = call;
-    const { head } = first;
     const send = (part: AnswerPart) => {
       if (!gone.signal.aborted) this.writer.send({ call: number, answer: part });
     };
--- a/packages/daemon/src/callerAnswer.ts
+++ b/packages/daemon/src/callerAnswer.ts
@@ -56,7 +56,7 @@
 /** How callers are told what isn't in an upstream's answer. */
 export interface AnswerWriter {
   /** Headers beside those of the upstream: names and values by turns. */
-  readonly headers: (status: number) => string[];
+  readonly headers: (status: number, request: IncomingMessage) => string[];
   readonly refusal: (response: ServerResponse, refusal: Refusal) => void;
 }
 
@@ -112,7 +112,7 @@
   length: number | undefined,
   writer: AnswerWriter,
 ): void {
-  const list = [...headerList(headers), ...writer.headers(status)];
+  const list = [...headerList(headers), ...writer.headers(status, response.req)];
   if (unframed) endWithConnection(response);
   else if (length !== undefined) list.push('content-length', String(length));
   response.writeHead(status, list);
--- /dev/null
+++ b/tests/headTemplates.spec.ts
@@ -0,0 +1,84 @@
+import { MOST_TEMPLATES, ReceivedTemplates, SentTemplates, type TravellingHead } from '@cleatquay/calls';
+import { LinkFrame, type RequestHead } from '@cleatquay/protocol';
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { CALL_CONTEXT } from './fixtures/callContext.js';
+
+const HEAD: RequestHead = {
+  service: 'history',
+  method: 'GET',
+  path: '/leny950/2f',
+  headers: 'Host\nhulo84.example\n',
+  context: {
+    ...CALL_CONTEXT,
+    requestId: '9c41d07be2a35f68.0.3',
+    rootId: '9c41d07be2a35f68',
+    route: 'r-leny950',
+    originService: 'receiving',
+    targetEpoch: 1.7e12,
+  },
+};
+
+/** Bytes of a frame with one request of such a head. */
+function bytesOf(travelling: TravellingHead): number {
+  const request = { ...travelling, body: Buffer.alloc(0), last: true };
+  const item = { call: 1, request, answer: undefined, cancel: false, credit: 0, ping: 0, pong: 0 };
+  return LinkFrame.encode({ items: [item] }).finish().length;
+}
+
+describe('heads on a link', () => {
+  const text = fc.constantFrom('', 'a', 'b', 'history');
+  const heads = fc.array(
+    fc.record({
+      service: text,
+      method: fc.constantFrom('GET', 'POST'),
+      path: fc.constantFrom('/', '/x'),
+      headers: fc.constantFrom('', 'Host\na\n', 'Host\nb\n'),
+      context: fc.record({
+        ...Object.fromEntries(
+          Object.entries(CALL_CONTEXT).map(([name, value]) => [name, fc.constant(value)]),
+        ),
+        requestId: fc.constantFrom('r', 'r.1', 'q.r'),
+        rootId: fc.constantFrom('r', 'q', ''),
+        route: text,
+        idempotent: fc.boolean(),
+        originService: text,
+        targetEpoch: fc.constantFrom(0, 7),
+        toHome: fc.boolean(),
+      }),
+    }),
+    { maxLength: 40 },
+  ) as fc.Arbitrary<RequestHead[]>;
+
+  it('arrive as they were sent, whatever they have in common', () => {
+    fc.assert(
+      fc.property(heads, sent => {
+        const [from, to] = [new SentTemplates(), new ReceivedTemplates()];
+        expect(sent.map(head => to.restore(from.shorten(head)))).to.deep.equal(sent);
+      }),
+    );
+  });
+
+  it('arrive as they were sent when there are more kinds than are kept', () => {
+    const [from, to] = [new SentTemplates(), new ReceivedTemplates()];
+    for (let i = 0; i < MOST_TEMPLATES + 50; i++) {
+      const head = { ...HEAD, headers: `Host\n${String(i)}\n` };
+      expect(to.restore(from.shorten(head))).to.deep.equal(head);
+    }
+  });
+
+  it('are refused when they name a template that was never defined, or is defined out of turn', () => {
+    const from = new SentTemplates();
+    const first = from.shorten(HEAD);
+    const second = from.shorten({ ...HEAD, method: 'POST' });
+    expect(new ReceivedTemplates().restore({ ...first, definition: undefined })).to.equal(undefined);
+    expect(new ReceivedTemplates().restore(second)).to.equal(undefined);
+  });
+
+  it('take less than half of the bytes from the second of a kind on: 60 in place of 146', () => {
+    const from = new SentTemplates();
+    from.shorten(HEAD);
+    const whole = bytesOf({ head: HEAD, template: 0, definition: undefined, rootLength: 0 });
+    expect(bytesOf(from.shorten(HEAD))).to.be.below(whole / 2);
+  });
+});
--- a/tests/linkServer.spec.ts
+++ b/tests/linkServer.spec.ts
@@ -19,6 +19,9 @@
     head: { context: CALL_CONTEXT, service: 's', method: 'GET', path: '/', headers: '' },
     body: Buffer.alloc(0),
     last: true,
+    template: 0,
+    definition: undefined,
+    rootLength: 0,
   },
 };
 
--- a/tests/linkStream.spec.ts
+++ b/tests/linkStream.spec.ts
@@ -1,4 +1,4 @@
-import { LinkStream } from '@cleatquay/calls';
+import { LinkStream, NO_HEAD } from '@cleatquay/calls';
 import { type LinkFrame, type LinkItem } from '@cleatquay/protocol';
 import { expect } from 'chai';
 import fc from 'fast-check';
@@ -36,7 +36,7 @@
 
 describe('frames over a connection', () => {
   const frameWith = (pong: number, bytes: number): LinkFrame => ({
-    items: [{ ...NOTHING, pong, request: { head: undefined, body: Buffer.alloc(bytes), last: false } }],
+    items: [{ ...NOTHING, pong, request: { ...NO_HEAD, body: Buffer.alloc(bytes), last: false } }],
   });
 
   it('arrive whole and in order, wherever the connection cuts them', () => {
