--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -8,6 +8,8 @@
 const NEAR_SUBSET = 12;
 const FAR_SUBSET = 6;
 const SPILL_AT = 0.9;
+/** A far upstream has to be less busy by so much of what it can run at once to be taken before a full near one. */
+const FAR_MARGIN = 0.25;
 const GRAY_FACTOR = 3;
 const GRAY_SAMPLES = 5;
 const GRAY_TRICKLE = 0.05;
@@ -70,7 +72,7 @@
     const best = this.pick(this.admitting(usable, route, level, true));
     if (best && this.utilisation(best) < SPILL_AT) return { kind: 'chosen', candidate: best.candidate };
     const further = this.pick(this.admitting(usable, route, level, false));
-    const chosen = this.lessBusy(best, further);
+    const chosen = this.nearUnlessMuchBusier(best, further);
     return chosen ? { kind: 'chosen', candidate: chosen.candidate } : { kind: 'refused' };
   }
 
@@ -195,6 +197,12 @@
     return this.utilisation(b) < this.utilisation(a) ? b : a;
   }
 
+  /** Where all are busy, a call that goes far costs bytes between failure domains and gains no room. */
+  private nearUnlessMuchBusier(near: Known | undefined, far: Known | undefined): Known | undefined {
+    if (!near || !far) return near ?? far;
+    return this.utilisation(far) + FAR_MARGIN < this.utilisation(near) ? far : near;
+  }
+
   private utilisation({ candidate, statistics }: Known): number {
     return statistics.utilisation(candidate.slots);
   }
--- a/tests/routing.spec.ts
+++ b/tests/routing.spec.ts
@@ -65,6 +65,13 @@
     expect(shares()).to.not.have.any.keys('127.0.0.1:1');
   });
 
+  it('stays near when all are full: further away there is no more room', () => {
+    ['1', '2', '3'].forEach(name => {
+      for (let i = 0; i < 15; i++) router.started(`127.0.0.1:${name}`);
+    });
+    expect(shares()).to.have.all.keys('127.0.0.1:1');
+  });
+
   it('avoids a near upstream that is far slower than the others, but for a trickle', () => {
     measure('1', 100);
     measure('2', 10);
