Turn only fresh requests away by what was heard of a level

The level is old where a chain begins, so that work was thrown away just after it had been let in. Change: calls of running requests are sent on unless the service is closed; the upstream's queue, in order of level, decides.

--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -2,5 +2,5 @@
 export { Admission, type AdmissionOptions, type Permit, type PermitResult } from './admission.js';
 export { AdaptiveLimit } from './adaptiveLimit.js';
 export { AdmissionLevel } from './admissionLevel.js';
-export { levelOf } from './level.js';
+export { levelOf, sendingLevel } from './level.js';
 export { ProcessorPressure } from './processorPressure.js';
--- a/packages/admission/src/level.ts
+++ b/packages/admission/src/level.ts
@@ -11,3 +11,16 @@
 export function levelOf(rank: number, rootId: string): number {
   return rank + crc32(rootId) / HASH_RANGE;
 }
+
+/**
+ * The level by which a daemon decides whether to send a call on at all, from what it has heard of the upstreams' levels.
+ * A call of a request that already runs stops only at a closed service (0): its fate is the queue of the upstream, where
+ * it stands in the order of its level. Only fresh requests are turned away by what was heard, before work is done.
+ *
+ * Answers to: more chains than the last service of a chain has room for. Its level is some 100 ms old where a chain
+ * begins and falls and rises by a tenth meanwhile; a chain that was let in then met a closed door at its first call.
+ * Chains lost after work at 1.29 times the room: 0.15 in place of 0.23; served 0.62 in place of 0.58 (chains.spec.ts).
+ */
+export function sendingLevel(level: number, depth: number): number {
+  return depth > 0 ? 0 : level;
+}
--- a/packages/calls/src/forwarder.ts
+++ b/packages/calls/src/forwarder.ts
@@ -1,5 +1,5 @@
 /** Carries a call to an upstream: chooses, sends, verifies, seals what was lost, and tries again within the budget. */
-import { levelOf } from '@cleatquay/admission';
+import { levelOf, sendingLevel } from '@cleatquay/admission';
 import { CALLER_LEFT, type CancelSignal, Cancellation, type Clock, type Random } from '@cleatquay/clock';
 import {
   type AnswerPart,
@@ -78,7 +78,7 @@
     const { clock, router, retries, freeMoves, journal } = this.options;
     const start = clock.now();
     retries.requested(route.service);
-    const level = levelOf(context.class, context.rootId);
+    const level = sendingLevel(levelOf(context.class, context.rootId), context.depth);
     const tried = new Set<string>();
     let tokens = context.retryTokens;
     let last: RefusedTry | undefined;
--- /dev/null
+++ b/tests/chains.spec.ts
@@ -0,0 +1,58 @@
+import { expect } from 'chai';
+import { type ChainLoad, type ChainResult, type ScarceService, playChains } from './fixtures/chainLoad.js';
+
+const PLAY_MS = 8000;
+const SEEDS = ['1', '2', '3', '4'];
+const SERVICE: ScarceService = { upstreams: 3, slots: 36 };
+/** Room for as many calls at once as the service has slots: the demand of these is 1.29 times that. */
+const CHAINS: ChainLoad = {
+  rank: 2,
+  perSecond: 490,
+  calls: 4,
+  workMs: 30,
+  leadMs: 150,
+  betweenMs: 30,
+  timeoutMs: 800,
+};
+const IMPORTANT_CHAINS: ChainLoad = {
+  rank: 0,
+  perSecond: 180,
+  calls: 8,
+  workMs: 30,
+  leadMs: 200,
+  betweenMs: 30,
+  timeoutMs: 1000,
+};
+const LONG_READS: ChainLoad = {
+  rank: 2,
+  perSecond: 77,
+  calls: 1,
+  workMs: 480,
+  leadMs: 0,
+  betweenMs: 0,
+  timeoutMs: 2500,
+};
+const LOADS = [CHAINS, IMPORTANT_CHAINS, LONG_READS];
+
+/** Shares of the requests of one kind, over all seeds. */
+async function sharesOf(index: number, service: ScarceService): Promise<ChainResult> {
+  const sum = { sent: 0, served: 0, refused: 0, wasted: 0 };
+  for (const seed of SEEDS) {
+    const result = (await playChains(service, LOADS, PLAY_MS, seed))[index]!;
+    for (const name of Object.keys(sum) as (keyof ChainResult)[]) sum[name] += result[name];
+  }
+  const { sent, served, refused, wasted } = sum;
+  return { sent: 1, served: served / sent, refused: refused / sent, wasted: wasted / sent };
+}
+
+describe('chains of calls to a service with too little room', () => {
+  it('are mostly turned away before work is done for them: 0.15 lost after work in place of 0.23', async () => {
+    const { served, wasted } = await sharesOf(0, SERVICE);
+    expect(wasted).to.be.below(0.17);
+    expect(served).to.be.above(0.57);
+  });
+
+  it('are served whole where they are most important', async () => {
+    expect((await sharesOf(1, SERVICE)).served).to.be.above(0.99);
+  });
+});
