Refuse what a daemon that ends has no time left for

Change: once it is ending, a request whose time is longer than what is left is refused as not run. Test: relay.spec.ts, which fails without it.

--- a/packages/calls/src/relay.ts
+++ b/packages/calls/src/relay.ts
@@ -41,6 +41,8 @@
   readonly originService: string;
   /** Fresh requests at or above this level are refused at once: the process has no time for them. */
   readonly pressureLevel: () => number;
+  /** Time until this daemon closes its connections, ms; infinite unless it is ending. */
+  readonly timeLeftMs: () => number;
   readonly random: Random;
   /** Requests that the upstream on this VM runs. */
   readonly running: RunningCalls;
@@ -62,6 +64,7 @@
     const context = this.context(request, route, parent);
     const isRefused = !parent && levelOf(context.class, context.rootId) >= this.options.pressureLevel();
     if (isRefused) return this.refuseForPressure(context);
+    if (context.remainingMs > this.options.timeLeftMs()) return this.refuseForEnd(context);
     return this.withinTimeout(request, context, route, service, new ReplayBody(source), signal);
   }
 
@@ -74,6 +77,16 @@
     return answerOf(endOf(refusal, 0));
   }
 
+  /**
+   * A daemon that ends would break off what it takes now and can't finish. Some callers come until the last moment: the
+   * platform sends them while most daemons of a failure domain are leaving.
+   */
+  private refuseForEnd({ requestId, remainingMs }: CallContext): CallAnswer {
+    const timeLeftMs = Math.round(this.options.timeLeftMs());
+    this.options.journal.note(requestId, 'Refused: the daemon ends first.', { remainingMs, timeLeftMs });
+    return answerOf(endOf(refusalOf('draining', 'The daemon is ending.', ELSEWHERE_SOON), 0));
+  }
+
   private unroutable(routes: HostRoutes | undefined, route: HostRoute | undefined): Refusal {
     if (!routes) return refusalOf('noConfiguration', 'This daemon has no configuration yet.', SOON);
     if (!route) return refusalOf('routeUnknown', 'No route has this host and path.');
@@ -164,5 +177,8 @@
 /** The level falls by its range in 0.6 s and rises by it in 2 s: what is refused now has a chance after about a second. */
 const PRESSURE_RETRY_MS = 1000;
 
+/** Callers find another daemon, or the next process of this one, which starts within about half a second. */
+const ELSEWHERE_SOON = { retryAfterMs: 500 };
+
 /** A daemon that has just started, or whose upstreams are being replaced, serves within about half a second. */
 const SOON = { retryAfterMs: 300 };
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -101,6 +101,8 @@
   private classes = 1;
   private hasMet = false;
   private leavingSince: number | undefined;
+  /** Clock time at which it stops waiting for what is in flight, ms. */
+  private endsAt = Number.POSITIVE_INFINITY;
 
   private constructor(private readonly parts: RelayDaemonParts) {
     const { clock, random, installation } = parts;
@@ -172,10 +174,10 @@
     const { clock, settings } = this.parts;
     const start = clock.now();
     this.leavingSince = start;
-    const end = start + settings.graceMs * GRACE_PART;
+    this.endsAt = start + settings.graceMs * GRACE_PART;
     await clock.sleep(Math.min(UNREADY_SEEN_MS, settings.graceMs / 2));
     this.upstreams.setDraining(true);
-    while (!this.isIdle() && clock.now() < end) await clock.sleep(DRAIN_CHECK_MS);
+    while (!this.isIdle() && clock.now() < this.endsAt) await clock.sleep(DRAIN_CHECK_MS);
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -238,6 +240,7 @@
       running: this.core.running,
       learned: this.learned,
       pressureLevel: () => this.pressure.level,
+      timeLeftMs: () => this.endsAt - clock.now(),
       random,
     });
   }
--- a/tests/relay.spec.ts
+++ b/tests/relay.spec.ts
@@ -38,8 +38,8 @@
   let clock: ManualClock;
   let given: CancelSignal[];
 
-  /** A relay whose forwarder never answers. */
-  function relay(): Relay {
+  /** A relay whose forwarder never answers, in a daemon that ends after so many ms. */
+  function relay(timeLeftMs = Number.POSITIVE_INFINITY): Relay {
     const limits = { headerBytes: 1000, bodyBytes: 1000, headerTimeoutMs: 1000, idleTimeoutMs: 1000 };
     const routes = new HostRoutes({ routes: [ROUTE], services: [], limits }, () => 0.5);
     const forward = (
@@ -63,6 +63,7 @@
       forwarder: { forward },
       originService: 'history',
       pressureLevel: () => Number.POSITIVE_INFINITY,
+      timeLeftMs: () => timeLeftMs,
       random: () => 0.5,
       running: new RunningCalls(),
       learned: new LearnedCalls(clock),
@@ -82,6 +83,17 @@
     expect(given[0]?.aborted).to.equal(true);
   });
 
+  it('is refused, as not run, by a daemon that ends before the time of the request is up', async () => {
+    const answer = await relay(TIMEOUT_MS - 1).handle(REQUEST, Buffer.alloc(0), NEVER_CANCELLED);
+    expect(answer.first.refusal?.outcome).to.equal('not-run');
+    expect(given).to.deep.equal([]);
+  });
+
+  it('is taken by a daemon that ends, as long as there is time for it', () => {
+    void relay(TIMEOUT_MS).handle(REQUEST, Buffer.alloc(0), NEVER_CANCELLED);
+    expect(given.length).to.equal(1);
+  });
+
   it('is given up further on at the timeout, and its caller is told at once', async () => {
     const answer = relay().handle(REQUEST, Buffer.alloc(0), NEVER_CANCELLED);
     clock.advance(TIMEOUT_MS);
