Spend the fleet's repeats as they are needed, and on what most was done for

The parts were fixed: 0.4 for tries that ran nowhere, whatever the levels above needed. Change: a call says whether a run above it is a repeat, and how many calls were made before it. A service's budget (0.8 of the fraction) is counted as it is spent, what repeats call again included; while it doesn't do for all, first calls get 0.2 of it and each later one 0.2 more. Found and left: an upstream that refuses a share whatever its load has its limit halved (refused at entry 0.40 in place of 0.23).

--- a/packages/calls/src/entry.ts
+++ b/packages/calls/src/entry.ts
@@ -313,6 +313,8 @@
       route: route.name,
       idempotent: route.idempotent,
       originService: '',
+      isRepeat: false,
+      callsBefore: 0,
     };
   }
 }
--- a/packages/calls/src/forwarder.ts
+++ b/packages/calls/src/forwarder.ts
@@ -77,13 +77,14 @@
   ): Promise<CallAnswer> {
     const { clock, router, retries, freeMoves, journal } = this.options;
     const start = clock.now();
-    retries.requested(route.service);
+    retries.requested(route.service, context.isRepeat);
     const level = sendingLevel(levelOf(context.class, context.rootId), context.depth);
     const tried = new Set<string>();
     let tokens = context.retryTokens;
     let last: RefusedTry | undefined;
     let mayHaveRun = false;
     let moves = 0;
+    let isRepeat = context.isRepeat;
     const end = (refusal: Refusal) => answerOf(endOf(asLastOf(refusal, mayHaveRun), tokens, last?.load));
     for (let number = context.try; ; number++) {
       const remainingMs = Math.floor(context.remainingMs - (clock.now() - start));
@@ -93,7 +94,7 @@
       const { candidate } = selection;
       const handed = Math.ceil(tokens / 2);
       const kept = tokens - handed;
-      const next = this.contextOf(context, number, remainingMs, handed, candidate);
+      const next = { ...this.contextOf(context, number, remainingMs, handed, candidate), isRepeat };
       journal.note(context.requestId, 'Sent to an upstream.', {
         try: number,
         to: candidate.address,
@@ -122,9 +123,10 @@
       tried.add(candidate.address);
       const isMove = !reachedUpstream(last.refusal) && moves < freeMoves;
       const usable = isMove ? Infinity : tokens;
-      if (!this.mayRetry(route, last.refusal, usable, body, signal)) return end(last.refusal);
+      if (!this.mayRetry(route, context, last.refusal, usable, body, signal)) return end(last.refusal);
       if (isMove) moves++;
       else tokens--;
+      isRepeat ||= reachedUpstream(last.refusal);
     }
   }
 
@@ -140,6 +142,7 @@
 
   private mayRetry(
     route: CallRoute,
+    context: CallContext,
     refusal: Refusal,
     tokens: number,
     body: ReplayBody,
@@ -149,7 +152,9 @@
     if (!reachedUpstream(refusal)) return true;
     const before = refusal.outcome === 'not-run' ? 'not-run' : 'may-have-run';
     const mayRepeat = before === 'not-run' || route.idempotent;
-    return mayRepeat && this.options.retries.take(route.service, before);
+    return (
+      mayRepeat && this.options.retries.take(route.service, { before, callsBefore: callsBefore(context) })
+    );
   }
 
   /** One try: gives its answer, or why there is none. */
@@ -310,6 +315,11 @@
   return outcome !== 'not-run' || resultByCode(code) === 'shedByUpstream';
 }
 
+/** Calls that were made for the request before this one; a most important request counts as one itself. */
+function callsBefore({ class: rank, callsBefore: calls }: CallContext): number {
+  return rank === 0 ? calls + 1 : calls;
+}
+
 /** A last try that ran nowhere says nothing of the tries before it. */
 function asLastOf(refusal: Refusal, mayHaveRun: boolean): Refusal {
   return mayHaveRun && refusal.outcome === 'not-run' ? { ...refusal, outcome: 'unknown' } : refusal;
--- a/packages/calls/src/index.ts
+++ b/packages/calls/src/index.ts
@@ -28,7 +28,7 @@
 export { type Contact, Peers } from './peers.js';
 export { ReplayBody } from './replayBody.js';
 export { type RequestId, RequestIds, parseRequestId } from './requestId.js';
-export { RetryAllowance, type RetryBudget } from './retryAllowance.js';
+export { type Repeat, RetryAllowance, type RetryBudget } from './retryAllowance.js';
 export { RunningCall, RunningCalls } from './runningCalls.js';
 export { TryMemory } from './tryMemory.js';
 export { GRACE_MS, type LocalUpstream, UpstreamSide, type UpstreamSideOptions } from './upstreamSide.js';
--- a/packages/calls/src/relay.ts
+++ b/packages/calls/src/relay.ts
@@ -167,6 +167,8 @@
       route: route.name,
       idempotent: route.idempotent,
       originService: this.options.originService,
+      isRepeat: parent?.context.isRepeat ?? false,
+      callsBefore: parent?.nextCall() ?? 0,
     };
   }
 }
--- a/packages/calls/src/retryAllowance.ts
+++ b/packages/calls/src/retryAllowance.ts
@@ -3,14 +3,22 @@
 const PER_SUCCESS = 0.1;
 const RESERVE = 20;
 
+/** A try that is to be sent once more. */
+export interface Repeat {
+  /** Whether the try before ran nowhere, or may have run. */
+  readonly before: 'not-run' | 'may-have-run';
+  /** Calls that were made for its request before it: their work is lost if it fails. */
+  readonly callsBefore: number;
+}
+
 /** Decides which tries may be repeated where the first may have reached an upstream. */
 export interface RetryBudget {
-  /** A request for the service came. */
-  readonly requested: (service: string) => void;
+  /** A request for the service came; `isRepeat` if it repeats a call that the service had before. */
+  readonly requested: (service: string, isRepeat: boolean) => void;
   /** A call was answered. */
   readonly succeeded: () => void;
-  /** Takes one retry at the service if there is one, after a try that ran nowhere or one that may have run. */
-  readonly take: (service: string, before: 'not-run' | 'may-have-run') => boolean;
+  /** Takes one retry at the service if there is one. */
+  readonly take: (service: string, repeat: Repeat) => boolean;
 }
 
 /** A bucket that successes fill and retries empty. */
--- a/packages/calls/src/runningCalls.ts
+++ b/packages/calls/src/runningCalls.ts
@@ -34,6 +34,11 @@
     invariant(this.retryTokens <= this.context.retryTokens, 'Calls: retry tokens came from nowhere.');
   }
 
+  /** Counts a call that it makes; gives how many were made for the root before, as far as is known here. */
+  nextCall(): number {
+    return this.context.callsBefore + this.children++;
+  }
+
   /** Id of a call below: the same for the same key, so that a repeat is known for one. */
   childId(key: string | undefined): string {
     return `${this.context.requestId}/${key ?? `n${String(++this.children)}`}`;
--- a/tests/chains.spec.ts
+++ b/tests/chains.spec.ts
@@ -55,4 +55,12 @@
   it('are served whole where they are most important', async () => {
     expect((await sharesOf(1, SERVICE)).served).to.be.above(0.99);
   });
+
+  it('are repeated where most was done when 55% of all calls are refused: 0.08 served in place of 0.05', async () => {
+    expect((await sharesOf(0, { ...SERVICE, shed: 0.55 })).served).to.be.above(0.07);
+  });
+
+  it('are served where they are most important when 12% are refused: 0.88 in place of 0.71', async () => {
+    expect((await sharesOf(1, { ...SERVICE, shed: 0.12 })).served).to.be.above(0.8);
+  });
 });
--- a/tests/fleetRetryBudget.spec.ts
+++ b/tests/fleetRetryBudget.spec.ts
@@ -13,6 +13,9 @@
       requests: fc.nat(20),
       tries: fc.nat(20),
       before: fc.constantFrom('not-run' as const, 'may-have-run' as const),
+      callsBefore: fc.nat(4),
+      /** Requests among so many that repeat what the service had before. */
+      repeatEvery: fc.integer({ min: 10, max: 50 }),
       pauseMs: fc.nat(1500),
     });
     fc.assert(
@@ -23,12 +26,13 @@
           () => new FleetRetryBudget(clock, BOUNDS, () => DAEMONS),
         );
         const events: { at: number; requests: number; retries: number }[] = [];
-        for (const { daemon, requests, tries, before, pauseMs } of steps) {
+        for (const { daemon, requests, tries, before, callsBefore, repeatEvery, pauseMs } of steps) {
           clock.advance(pauseMs);
           const budget = budgets[daemon]!;
-          for (let i = 0; i < requests; i++) budget.requested('s');
-          let retries = 0;
-          for (let i = 0; i < tries; i++) if (budget.take('s', before)) retries++;
+          for (let i = 0; i < requests; i++) budget.requested('s', false);
+          let retries = Math.floor(requests / repeatEvery);
+          for (let i = 0; i < retries; i++) budget.requested('s', true);
+          for (let i = 0; i < tries; i++) if (budget.take('s', { before, callsBefore })) retries++;
           events.push({ at: clock.now(), requests, retries });
         }
         for (const { at } of events) {
@@ -46,7 +50,42 @@
 
   it('is there to be used by a daemon alone', () => {
     const budget = new FleetRetryBudget(new ManualClock(), BOUNDS, () => 1);
-    expect(budget.take('s', 'not-run')).to.equal(true);
-    expect(budget.take('s', 'may-have-run')).to.equal(true);
+    expect(budget.take('s', { before: 'not-run', callsBefore: 0 })).to.equal(true);
+    expect(budget.take('s', { before: 'may-have-run', callsBefore: 1 })).to.equal(true);
+  });
+
+  it('is spent on whatever asks first when there are enough repeats for all', () => {
+    const budget = new FleetRetryBudget(new ManualClock(), { ...BOUNDS, extra: 0 }, () => 1);
+    for (let i = 0; i < 1000; i++) budget.requested('s', false);
+    const taken = (callsBefore: number) => {
+      let count = 0;
+      for (let i = 0; i < 200; i++) if (budget.take('s', { before: 'not-run', callsBefore })) count++;
+      return count;
+    };
+    expect(taken(0)).to.equal(160);
+    expect(taken(3)).to.equal(0);
+  });
+
+  it('keeps repeats for calls with others before them when there are too few for all', () => {
+    const clock = new ManualClock();
+    const budget = new FleetRetryBudget(clock, { ...BOUNDS, extra: 0 }, () => 1);
+    for (let second = 0; second < 10; second++) {
+      clock.advance(1000);
+      for (let i = 0; i < 100; i++) budget.requested('s', false);
+    }
+    const taken = [0, 0, 0, 0];
+    for (let i = 0; i < 400; i++) {
+      const callsBefore = i % taken.length;
+      if (budget.take('s', { before: 'not-run', callsBefore })) taken[callsBefore]!++;
+    }
+    expect(taken[0]).to.be.at.most(15);
+    expect(taken[3]).to.be.at.least(50);
+  });
+
+  it('spends less by what runs that are repeats call again', () => {
+    const budget = new FleetRetryBudget(new ManualClock(), { ...BOUNDS, extra: 0 }, () => 1);
+    for (let i = 0; i < 1000; i++) budget.requested('s', false);
+    for (let i = 0; i < 160; i++) budget.requested('s', true);
+    expect(budget.take('s', { before: 'not-run', callsBefore: 1 })).to.equal(false);
   });
 });
