--- a/packages/calls/src/forwarder.ts
+++ b/packages/calls/src/forwarder.ts
@@ -173,7 +173,7 @@
         candidate.address === self
           ? await local(head, bytes, limited.signal)
           : await peers.exchange(candidate.address, head, bytes, limited.signal);
-      const result = await this.verify(attempt, answer, finish);
+      const result = this.verify(attempt, answer, finish);
       if ('first' in result) retries.succeeded();
       if ('refusal' in result) finish('refused');
       else if (!result.rest) finish('answered');
@@ -191,11 +191,11 @@
   }
 
   /** A small answer is verified before any of it is passed on, so that a broken one can be tried again. */
-  private async verify(
+  private verify(
     { candidate, route, kept }: Attempt,
     { first, rest }: CallAnswer,
     finish: (result: CallResult) => void,
-  ): Promise<CallAnswer | RefusedTry> {
+  ): CallAnswer | RefusedTry {
     const { router } = this.options;
     const heard = ({ load }: AnswerPart) => {
       if (load) router.heard(candidate.address, route.name, load);
--- a/packages/calls/src/upstreamSide.ts
+++ b/packages/calls/src/upstreamSide.ts
@@ -182,10 +182,7 @@
     }
   }
 
-  private async ask(
-    { head, context, route, upstream, body }: Work,
-    signal: CancelSignal,
-  ): Promise<UpstreamAnswer> {
+  private ask({ head, context, route, upstream, body }: Work, signal: CancelSignal): Promise<UpstreamAnswer> {
     const { dialect } = this.options;
     const mayHaveBody = head.method !== 'GET' && head.method !== 'HEAD';
     const isEmpty = Buffer.isBuffer(body) && body.length === 0;
