Let dear fresh requests wait behind cheaper ones of the same importance

Hypothesis: where a service at the end of many chains also serves long requests of its own, one of these takes the room of several chains; among equals the dear are to be refused first, within bounds. Change: an upstream learns what a run of each route takes; a fresh request of twice the mean or more stands in the queue, and is told the level, by the root of its place; never less than half as often admitted as others.

--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -3,4 +3,5 @@
 export { AdaptiveLimit } from './adaptiveLimit.js';
 export { AdmissionLevel } from './admissionLevel.js';
 export { levelOf, sendingLevel } from './level.js';
+export { RouteCosts } from './routeCosts.js';
 export { ProcessorPressure } from './processorPressure.js';
--- /dev/null
+++ b/packages/admission/src/routeCosts.ts
@@ -0,0 +1,68 @@
+/**
+ * What fresh requests of a route take of an upstream, against the mean of all that it runs. Where there is no room for
+ * all, the room that one dear request takes serves several others of the same importance.
+ *
+ * Answers to: an upstream at the end of many chains that also serves long requests of its own. A request of twice the
+ * mean work or more is refused as if its place among its equals were the root of what it is, but never more than twice
+ * as often admitted as others: kinds that are dear are served less, and not shut out. Of the less important requests at
+ * 1.29 times the room: chains 0.70 served in place of 0.62, long reads 0.58 in place of 0.68; at 1.1 times 0.84 in place of
+ * 0.83, and 0.77 in place of 0.85 (chains of chains.spec.ts, 6 seeds).
+ */
+
+/** Weight of a run in the means: some fifty runs tell. */
+const WEIGHT = 0.02;
+/** A route is taken for as dear as the mean until so many of its runs are known. */
+const TELLING_RUNS = 10;
+/** Greatest exponent of a place: with 3, chains are served 0.02 more at 1.29 times the room, and long reads 0.05 less. */
+const MOST_EXPONENT = 2;
+/** A dear route is admitted at least so often, as a share of what others are. */
+const LEAST_SHARE = 0.5;
+/** Places lie below one. */
+const LAST_PLACE = 1 - Number.EPSILON;
+
+interface Mean {
+  ms: number;
+  runs: number;
+}
+
+/** Means of one upstream. */
+export class RouteCosts {
+  private readonly routes = new Map<string, Mean>();
+  private readonly all: Mean = { ms: 0, runs: 0 };
+
+  /** A run of the route took so long. */
+  ran(route: string, ms: number): void {
+    let mean = this.routes.get(route);
+    if (!mean) this.routes.set(route, (mean = { ms: 0, runs: 0 }));
+    add(mean, ms);
+    add(this.all, ms);
+  }
+
+  /** The level at which a fresh request of the route at `level` stands in the queue. */
+  levelInQueue(route: string, level: number): number {
+    const rank = Math.floor(level);
+    const place = level - rank;
+    const moved = Math.min(place ** (1 / this.exponent(route)), place / LEAST_SHARE);
+    return rank + Math.min(LAST_PLACE, Math.max(place, moved));
+  }
+
+  /** The level from which on fresh requests of the route are refused, where the queue refuses from `level` on. */
+  levelForFresh(route: string, level: number): number {
+    const exponent = this.exponent(route);
+    if (exponent === 1 || !Number.isFinite(level)) return level;
+    const rank = Math.floor(level);
+    const place = level - rank;
+    return rank + Math.max(place ** exponent, place * LEAST_SHARE);
+  }
+
+  private exponent(route: string): number {
+    const mean = this.routes.get(route);
+    if (!mean || mean.runs < TELLING_RUNS || this.all.ms === 0) return 1;
+    return Math.min(MOST_EXPONENT, Math.max(1, mean.ms / this.all.ms));
+  }
+}
+
+function add(mean: Mean, ms: number): void {
+  mean.runs++;
+  mean.ms += (ms - mean.ms) * Math.max(WEIGHT, 1 / mean.runs);
+}
--- a/packages/calls/src/upstreamSide.ts
+++ b/packages/calls/src/upstreamSide.ts
@@ -1,6 +1,5 @@
 /** The daemon beside an upstream: admits, dispatches, and remembers what was dispatched. */
-import { type Admission, type Permit } from '@cleatquay/admission';
-import { levelOf } from '@cleatquay/admission';
+import { type Admission, type Permit, type RouteCosts, levelOf } from '@cleatquay/admission';
 import {
   CALLER_LEFT,
   type CancelSignal,
@@ -41,6 +40,7 @@
 /** An announced upstream as calls see it. */
 export interface LocalUpstream {
   readonly admission: Admission;
+  readonly costs: RouteCosts;
   readonly connections: UpstreamConnections;
   readonly isDraining: boolean;
   /** Names this start of the upstream; empty if it doesn't tell. */
@@ -134,7 +134,8 @@
     const { requestId } = context;
     const forbidden = route.idempotent ? undefined : tries.begin(requestId, context.try);
     if (forbidden) return forbidden;
-    const level = levelOf(context.class, context.rootId);
+    const ownLevel = levelOf(context.class, context.rootId);
+    const level = context.depth > 0 ? ownLevel : upstream.costs.levelInQueue(route.name, ownLevel);
     const permit = await upstream.admission.request(level, context.remainingMs, signal);
     if ('release' in permit) {
       if (route.idempotent || tries.dispatch(requestId)) return permit;
@@ -169,7 +170,9 @@
     };
     try {
       const answer = this.toAnswer(work, call, await this.ask(work, given.signal));
-      const waitedMs = Math.round(clock.now() - startedAt);
+      const tookMs = clock.now() - startedAt;
+      upstream.costs.ran(route.name, tookMs);
+      const waitedMs = Math.round(tookMs);
       journal.note(context.requestId, 'The upstream answered.', { status: statusOf(answer), waitedMs });
       journal.ended(context.requestId, false);
       if (!answer.rest) finish();
@@ -278,7 +281,8 @@
 
   private load(upstream: LocalUpstream, route: CallRoute): Load {
     const load = upstream.admission.load();
-    return { ...load, admissionLevel: Math.min(load.admissionLevel, this.options.levelBelow(route)) };
+    const levelHere = upstream.costs.levelForFresh(route.name, load.admissionLevel);
+    return { ...load, admissionLevel: Math.min(levelHere, this.options.levelBelow(route)) };
   }
 }
 
--- a/packages/daemon/src/upstreams.ts
+++ b/packages/daemon/src/upstreams.ts
@@ -1,5 +1,5 @@
 /** The upstreams that announced themselves to this daemon. */
-import { Admission } from '@cleatquay/admission';
+import { Admission, RouteCosts } from '@cleatquay/admission';
 import { type LocalUpstream, UpstreamConnections } from '@cleatquay/calls';
 import { type Clock, type Random, type Timer } from '@cleatquay/clock';
 import { type KnownUpstream } from '@cleatquay/membership';
@@ -214,6 +214,7 @@
     const upstream: Announced = {
       announcement,
       admission,
+      costs: new RouteCosts(),
       connections: new UpstreamConnections(clock, address, allowed),
       instanceId,
       isDraining: this.isLeaving(announcement),
--- a/tests/chains.spec.ts
+++ b/tests/chains.spec.ts
@@ -6,6 +6,7 @@
 const SERVICE: ScarceService = { upstreams: 3, slots: 36 };
 /** Room for as many calls at once as the service has slots: the demand of these is 1.29 times that. */
 const CHAINS: ChainLoad = {
+  name: 'chains',
   rank: 2,
   perSecond: 490,
   calls: 4,
@@ -15,6 +16,7 @@
   timeoutMs: 800,
 };
 const IMPORTANT_CHAINS: ChainLoad = {
+  name: 'important chains',
   rank: 0,
   perSecond: 180,
   calls: 8,
@@ -24,6 +26,7 @@
   timeoutMs: 1000,
 };
 const LONG_READS: ChainLoad = {
+  name: 'long reads',
   rank: 2,
   perSecond: 77,
   calls: 1,
@@ -52,6 +55,11 @@
     expect(served).to.be.above(0.57);
   });
 
+  it('go before long requests of the same importance: 0.70 served in place of 0.62, long ones 0.58, not 0.68', async () => {
+    expect((await sharesOf(0, SERVICE)).served).to.be.above(0.66);
+    expect((await sharesOf(2, SERVICE)).served).to.be.above(0.5);
+  });
+
   it('are served whole where they are most important', async () => {
     expect((await sharesOf(1, SERVICE)).served).to.be.above(0.99);
   });
