--- a/packages/calls/src/index.ts
+++ b/packages/calls/src/index.ts
@@ -49,6 +49,7 @@
   SentTemplates,
   type TravellingHead,
 } from './headTemplates.js';
+export { EMPTY_ITEM } from './linkParts.js';
 export { LinkServer } from './linkServer.js';
 export { LinkStream, type LinkStreamEvents } from './linkStream.js';
 export { nextPoll } from './nextPoll.js';
--- a/packages/calls/src/linkParts.ts
+++ b/packages/calls/src/linkParts.ts
@@ -6,7 +6,8 @@
 /** A frame is written early beyond so many bytes, well below the longest that a peer takes. */
 const FRAME_BYTES = 512 * 1024;
 
-const EMPTY_ITEM: LinkItem = {
+/** An item that says nothing; what is sent is added to it. */
+export const EMPTY_ITEM: LinkItem = {
   call: 0,
   request: undefined,
   answer: undefined,
--- a/tests/headTemplates.spec.ts
+++ b/tests/headTemplates.spec.ts
@@ -1,4 +1,11 @@
-import { MOST_TEMPLATES, ReceivedTemplates, SentTemplates, type TravellingHead } from '@cleatquay/calls';
+import {
+  EMPTY_ITEM,
+  MOST_TEMPLATES,
+  NO_HEAD,
+  ReceivedTemplates,
+  SentTemplates,
+  type TravellingHead,
+} from '@cleatquay/calls';
 import { LinkFrame, type RequestHead } from '@cleatquay/protocol';
 import { expect } from 'chai';
 import fc from 'fast-check';
@@ -22,8 +29,7 @@
 /** Bytes of a frame with one request of such a head. */
 function bytesOf(travelling: TravellingHead): number {
   const request = { ...travelling, body: Buffer.alloc(0), last: true };
-  const item = { call: 1, request, answer: undefined, cancel: false, credit: 0, ping: 0, pong: 0 };
-  return LinkFrame.encode({ items: [item] }).finish().length;
+  return LinkFrame.encode({ items: [{ ...EMPTY_ITEM, call: 1, request }] }).finish().length;
 }
 
 describe('heads on a link', () => {
@@ -78,7 +84,7 @@
   it('take less than half of the bytes from the second of a kind on: 60 in place of 146', () => {
     const from = new SentTemplates();
     from.shorten(HEAD);
-    const whole = bytesOf({ head: HEAD, template: 0, definition: undefined, rootLength: 0 });
+    const whole = bytesOf({ ...NO_HEAD, head: HEAD });
     expect(bytesOf(from.shorten(HEAD))).to.be.below(whole / 2);
   });
 });
--- a/tests/linkServer.spec.ts
+++ b/tests/linkServer.spec.ts
@@ -1,27 +1,17 @@
-import { LinkServer, answerOf } from '@cleatquay/calls';
+import { EMPTY_ITEM, LinkServer, NO_HEAD, answerOf } from '@cleatquay/calls';
 import { LinkFrame, type LinkItem, endOf, refusalOf } from '@cleatquay/protocol';
 import { expect } from 'chai';
 import { EventEmitter } from 'node:events';
 import { CALL_CONTEXT } from './fixtures/callContext.js';
 
-const NOTHING: LinkItem = {
-  call: 1,
-  request: undefined,
-  answer: undefined,
-  cancel: false,
-  credit: 0,
-  ping: 0,
-  pong: 0,
-};
 const REQUEST: LinkItem = {
-  ...NOTHING,
+  ...EMPTY_ITEM,
+  call: 1,
   request: {
+    ...NO_HEAD,
     head: { context: CALL_CONTEXT, service: 's', method: 'GET', path: '/', headers: '' },
     body: Buffer.alloc(0),
     last: true,
-    template: 0,
-    definition: undefined,
-    rootLength: 0,
   },
 };
 
@@ -55,7 +45,7 @@
     expect(new LinkServer(socket as never, handle, () => isLagging)).to.be.instanceOf(LinkServer);
     socket.emit('data', bytesOf(REQUEST));
     await new Promise(resolve => setImmediate(resolve));
-    socket.emit('data', bytesOf({ ...NOTHING, cancel: true }));
+    socket.emit('data', bytesOf({ ...EMPTY_ITEM, call: 1, cancel: true }));
     for (let turn = 0; turn < 4; turn++) await new Promise(resolve => setImmediate(resolve));
     return handled;
   };
--- a/tests/linkStream.spec.ts
+++ b/tests/linkStream.spec.ts
@@ -1,19 +1,9 @@
-import { LinkStream, NO_HEAD } from '@cleatquay/calls';
-import { type LinkFrame, type LinkItem } from '@cleatquay/protocol';
+import { EMPTY_ITEM, LinkStream, NO_HEAD } from '@cleatquay/calls';
+import { type LinkFrame } from '@cleatquay/protocol';
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { EventEmitter } from 'node:events';
 
-const NOTHING: LinkItem = {
-  call: 0,
-  request: undefined,
-  answer: undefined,
-  cancel: false,
-  credit: 0,
-  ping: 0,
-  pong: 0,
-};
-
 /** Stands for a connection: keeps what is written to it. */
 function connection() {
   const nothing = () => undefined;
@@ -36,7 +26,7 @@
 
 describe('frames over a connection', () => {
   const frameWith = (pong: number, bytes: number): LinkFrame => ({
-    items: [{ ...NOTHING, pong, request: { ...NO_HEAD, body: Buffer.alloc(bytes), last: false } }],
+    items: [{ ...EMPTY_ITEM, pong, request: { ...NO_HEAD, body: Buffer.alloc(bytes), last: false } }],
   });
 
   it('arrive whole and in order, wherever the connection cuts them', () => {
