--- a/packages/calls/src/forwarder.ts
+++ b/packages/calls/src/forwarder.ts
@@ -23,6 +23,7 @@
 } from './callHandler.js';
 import { type Journal } from './journal.js';
 import { LostContact } from './lostContact.js';
+import { nextTry, reachedUpstream } from './nextTry.js';
 import { type Peers } from './peers.js';
 import { type ReplayBody } from './replayBody.js';
 import { type RetryBudget } from './retryAllowance.js';
@@ -83,7 +84,7 @@
     let tokens = context.retryTokens;
     let last: RefusedTry | undefined;
     let mayHaveRun = false;
-    let moves = 0;
+    let moves = freeMoves;
     let isRepeat = context.isRepeat;
     const end = (refusal: Refusal) => answerOf(endOf(asLastOf(refusal, mayHaveRun), tokens, last?.load));
     for (let number = context.try; ; number++) {
@@ -94,7 +95,7 @@
       const { candidate } = selection;
       const handed = Math.ceil(tokens / 2);
       const kept = tokens - handed;
-      const next = { ...this.contextOf(context, number, remainingMs, handed, candidate), isRepeat };
+      const sent = { ...this.contextOf(context, number, remainingMs, handed, candidate), isRepeat };
       journal.note(context.requestId, 'Sent to an upstream.', {
         try: number,
         to: candidate.address,
@@ -104,8 +105,8 @@
       });
       const result = await this.attempt({
         route,
-        head: { ...head, context: next },
-        context: next,
+        head: { ...head, context: sent },
+        context: sent,
         candidate,
         body,
         signal,
@@ -121,12 +122,16 @@
         why: last.refusal.message,
       });
       tried.add(candidate.address);
-      const isMove = !reachedUpstream(last.refusal) && moves < freeMoves;
-      const usable = isMove ? Infinity : tokens;
-      if (!this.mayRetry(route, context, last.refusal, usable, body, signal)) return end(last.refusal);
-      if (isMove) moves++;
+      if (signal.aborted || !body.isReplayable) return end(last.refusal);
+      const { refusal } = last;
+      const failed = { refusal, idempotent: route.idempotent, tokens, moves };
+      const next = nextTry(failed, before =>
+        retries.take(route.service, { before, callsBefore: callsBefore(context) }),
+      );
+      if (next === 'none') return end(refusal);
+      if (next === 'move') moves--;
       else tokens--;
-      isRepeat ||= reachedUpstream(last.refusal);
+      isRepeat ||= reachedUpstream(refusal);
     }
   }
 
@@ -140,23 +145,6 @@
     return { ...context, try: number, remainingMs, retryTokens, targetEpoch: epoch, toHome: false };
   }
 
-  private mayRetry(
-    route: CallRoute,
-    context: CallContext,
-    refusal: Refusal,
-    tokens: number,
-    body: ReplayBody,
-    signal: CancelSignal,
-  ): boolean {
-    if (tokens < 1 || signal.aborted || !body.isReplayable || !refusal.elsewhereHelps) return false;
-    if (!reachedUpstream(refusal)) return true;
-    const before = refusal.outcome === 'not-run' ? 'not-run' : 'may-have-run';
-    const mayRepeat = before === 'not-run' || route.idempotent;
-    return (
-      mayRepeat && this.options.retries.take(route.service, { before, callsBefore: callsBefore(context) })
-    );
-  }
-
   /** One try: gives its answer, or why there is none. */
   private async attempt(attempt: Attempt): Promise<CallAnswer | RefusedTry> {
     const { router, peers, self, local, retries } = this.options;
@@ -310,11 +298,6 @@
   return { refusal, unusedRetryTokens: 0, load: undefined };
 }
 
-/** Whether the try got as far as an upstream, which then ran it or refused it. */
-function reachedUpstream({ code, outcome }: Refusal): boolean {
-  return outcome !== 'not-run' || resultByCode(code) === 'shedByUpstream';
-}
-
 /** Calls that were made for the request before this one; a most important request counts as one itself. */
 function callsBefore({ class: rank, callsBefore: calls }: CallContext): number {
   return rank === 0 ? calls + 1 : calls;
