Leave an upstream that sheds nine tenths of its slots

Cause (ablation by chains): an upstream that refuses a share of everything had its limit lowered to about 0.7 of its slots, by shedding that had nothing to do with load. Change: the limit falls to 0.9 of the slots at most (was 0.5).

--- a/packages/admission/src/adaptiveLimit.ts
+++ b/packages/admission/src/adaptiveLimit.ts
@@ -6,9 +6,11 @@
 const DECREASE_EVERY_MS = 100;
 /**
  * Share of the announced slots that is always used. An upstream that sheds below that sheds for another reason than its
- * load, and gets no better by being given less.
+ * load, and gets no better by being given less. Answers to: an upstream that refuses a share of everything while all its
+ * room is needed. With 12% refused at 1.29 times the room, chains served 0.61 in place of 0.43 with a share of 0.5
+ * (chains.spec.ts).
  */
-const SMALLEST_SHARE = 0.5;
+const SMALLEST_SHARE = 0.9;
 
 /** Grows with answers, shrinks when the upstream sheds; never above the announced slots. */
 export class AdaptiveLimit {
--- a/tests/chains.spec.ts
+++ b/tests/chains.spec.ts
@@ -71,4 +71,8 @@
   it('are served where they are most important when 12% are refused: 0.88 in place of 0.71', async () => {
     expect((await sharesOf(1, { ...SERVICE, shed: 0.12 })).served).to.be.above(0.8);
   });
+
+  it('keep the room of a service that refuses 12% whatever its load: 0.61 served in place of 0.43', async () => {
+    expect((await sharesOf(0, { ...SERVICE, shed: 0.12 })).served).to.be.above(0.55);
+  });
 });
