Take the longer queue for bursts out

The figures at the other mechanisms were measured again without it; the tests' bounds are tighter by as much.

--- a/packages/admission/src/admission.ts
+++ b/packages/admission/src/admission.ts
@@ -8,7 +8,6 @@
 const TICK_MS = 25;
 const SMALLEST_QUEUE = 2;
 const MORE_PATIENCE = 4;
-const BURST_MS = 250;
 const FIRST_GUESS_MS = 20;
 const LATENCY_WEIGHT = 0.05;
 const SHORTEST_RETRY_AFTER_MS = 500;
@@ -50,7 +49,6 @@
   readonly counts = { admitted: 0, refused: 0, expired: 0 };
   private readonly level: AdmissionLevel;
   private readonly queue: Waiter[] = [];
-  private lastEmptyAt = Number.NEGATIVE_INFINITY;
   private inFlight = 0;
   private latencyMs = FIRST_GUESS_MS;
   private refusedInTick = false;
@@ -136,7 +134,6 @@
     };
     const leave = () => this.drop(waiter);
     signal.addEventListener('abort', leave, { once: true });
-    if (this.queue.length === 0) this.lastEmptyAt = now;
     this.keepTicking();
     this.insert(waiter);
     this.evictIfFull();
@@ -172,14 +169,9 @@
     this.refuse(worst);
   }
 
-  /**
-   * The longest delay, ms; longer for the top class, and for a burst, which is a queue that was empty a moment ago.
-   * The latter after CoDel (Nichols, Jacobson, Controlling Queue Delay, ACM Queue 2012).
-   */
+  /** The longest delay, ms; longer for the top class. */
   private patienceMs(isTop: boolean): number {
-    const { clock, maxQueueMs } = this.options;
-    const isBurst = clock.now() - this.lastEmptyAt < BURST_MS;
-    return maxQueueMs() * (isTop || isBurst ? MORE_PATIENCE : 1);
+    return this.options.maxQueueMs() * (isTop ? MORE_PATIENCE : 1);
   }
 
   private topCount(): number {
--- a/packages/admission/src/level.ts
+++ b/packages/admission/src/level.ts
@@ -19,7 +19,7 @@
  *
  * Answers to: more chains than the last service of a chain has room for. Its level is some 100 ms old where a chain
  * begins and falls and rises by a tenth meanwhile; a chain that was let in then met a closed door at its first call.
- * Chains lost after work at 1.29 times the room: 0.15 in place of 0.23; served 0.62 in place of 0.58 (chains.spec.ts).
+ * Chains lost after work at 1.29 times the room: 0.09 in place of 0.17; served 0.68 in place of 0.62 (chains.spec.ts).
  */
 export function sendingLevel(level: number, depth: number): number {
   return depth > 0 ? 0 : level;
--- a/tests/chains.spec.ts
+++ b/tests/chains.spec.ts
@@ -49,13 +49,13 @@
 }
 
 describe('chains of calls to a service with too little room', () => {
-  it('are mostly turned away before work is done for them: 0.15 lost after work in place of 0.23', async () => {
+  it('are mostly turned away before work is done for them: 0.09 lost after work in place of 0.17', async () => {
     const { served, wasted } = await sharesOf(0, SERVICE);
-    expect(wasted).to.be.below(0.17);
-    expect(served).to.be.above(0.57);
+    expect(wasted).to.be.below(0.13);
+    expect(served).to.be.above(0.64);
   });
 
-  it('go before long requests of the same importance: 0.70 served in place of 0.62, long ones 0.58, not 0.68', async () => {
+  it('go before long requests of the same importance: 0.68 served in place of 0.60, long ones 0.56, not 0.65', async () => {
     expect((await sharesOf(0, SERVICE)).served).to.be.above(0.66);
     expect((await sharesOf(2, SERVICE)).served).to.be.above(0.5);
   });
@@ -68,11 +68,11 @@
     expect((await sharesOf(0, { ...SERVICE, shed: 0.55 })).served).to.be.above(0.07);
   });
 
-  it('are served where they are most important when 12% are refused: 0.88 in place of 0.71', async () => {
+  it('are served where they are most important when 12% are refused: 0.89 in place of 0.70', async () => {
     expect((await sharesOf(1, { ...SERVICE, shed: 0.12 })).served).to.be.above(0.8);
   });
 
-  it('keep the room of a service that refuses 12% whatever its load: 0.61 served in place of 0.43', async () => {
+  it('keep the room of a service that refuses 12% whatever its load: 0.61 served in place of 0.42', async () => {
     expect((await sharesOf(0, { ...SERVICE, shed: 0.12 })).served).to.be.above(0.55);
   });
 });
