Let calls of running requests probe slow upstreams, too

Found by reading. Change: the router gets both, the call's level and the one by which it is sent. Test: routing.spec.ts; with level 0 as before, no call goes to the slow one.

--- a/packages/calls/src/forwarder.ts
+++ b/packages/calls/src/forwarder.ts
@@ -79,7 +79,8 @@
     const { clock, router, retries, freeMoves, journal } = this.options;
     const start = clock.now();
     retries.requested(route.service, context.isRepeat);
-    const level = sendingLevel(levelOf(context.class, context.rootId), context.depth);
+    const level = levelOf(context.class, context.rootId);
+    const sentAt = sendingLevel(level, context.depth);
     const tried = new Set<string>();
     let tokens = context.retryTokens;
     let last: RefusedTry | undefined;
@@ -89,7 +90,7 @@
     const end = (refusal: Refusal) => answerOf(endOf(asLastOf(refusal, mayHaveRun), tokens, last?.load));
     for (let number = context.try; ; number++) {
       const remainingMs = Math.floor(context.remainingMs - (clock.now() - start));
-      const selection = router.choose(route.service, route.name, level, tried);
+      const selection = router.choose(route.service, route.name, level, tried, sentAt);
       if (selection.kind !== 'chosen' || remainingMs <= 0)
         return end(last?.refusal ?? this.withoutUpstream(selection.kind, remainingMs));
       const { candidate } = selection;
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -62,16 +62,25 @@
 
   constructor(private readonly options: RouterOptions) {}
 
-  /** Chooses for a call to `route` at `level`, not among `tried`. */
-  choose(service: string, route: string, level: number, tried: ReadonlySet<string>): Selection {
+  /**
+   * Chooses for a call to `route` at `level`, not among `tried`, nor among those that are heard to refuse calls at
+   * `sendingLevel`.
+   */
+  choose(
+    service: string,
+    route: string,
+    level: number,
+    tried: ReadonlySet<string>,
+    sendingLevel = level,
+  ): Selection {
     const subset = this.subset(service);
     const untried =
       tried.size === 0 ? subset.all : subset.all.filter(({ candidate }) => !tried.has(candidate.address));
     if (untried.length === 0) return { kind: 'none' };
     const usable = this.withoutGray(this.reachable(untried), subset, level);
-    const best = this.pick(this.admitting(usable, route, level, true));
+    const best = this.pick(this.admitting(usable, route, sendingLevel, true));
     if (best && this.utilisation(best) < SPILL_AT) return { kind: 'chosen', candidate: best.candidate };
-    const further = this.pick(this.admitting(usable, route, level, false));
+    const further = this.pick(this.admitting(usable, route, sendingLevel, false));
     const chosen = this.nearUnlessMuchBusier(best, further);
     return chosen ? { kind: 'chosen', candidate: chosen.candidate } : { kind: 'refused' };
   }
--- a/tests/routing.spec.ts
+++ b/tests/routing.spec.ts
@@ -81,6 +81,17 @@
       .and.below(0.1);
   });
 
+  it('lets a trickle of calls that stop at no level find out that an upstream is well again', () => {
+    measure('1', 100);
+    measure('2', 10);
+    measure('3', 10);
+    const isSlowOne = () => {
+      const selection = router.choose('s', 's.run', 1, NOBODY, 0);
+      return selection.kind === 'chosen' && selection.candidate.address === '127.0.0.1:1';
+    };
+    expect(Array.from({ length: 1000 }, isSlowOne)).to.include(true);
+  });
+
   it('notices a near upstream that stops answering before the first of its calls has ended', () => {
     ['1', '2', '3'].forEach(name => measure(name, 10));
     [1, 2, 3, 4].forEach(() => router.started('127.0.0.1:1'));
