--- a/packages/admission/src/routeCosts.ts
+++ b/packages/admission/src/routeCosts.ts
@@ -5,7 +5,7 @@
  * Answers to: an upstream at the end of many chains that also serves long requests of its own. A request of twice the
  * mean work or more is refused as if its place among its equals were the root of what it is, but never more than twice
  * as often admitted as others: kinds that are dear are served less, and not shut out. Of the less important requests at
- * 1.29 times the room: chains 0.68 served in place of 0.60, long reads 0.56 in place of 0.65 (chains.spec.ts).
+ * 1.29 times the room: chains 0.68 served in place of 0.62, long reads 0.53 in place of 0.67 (chains.spec.ts).
  */
 
 /** Weight of a run in the means: some fifty runs tell. */
--- a/tests/chains.spec.ts
+++ b/tests/chains.spec.ts
@@ -2,7 +2,8 @@
 import { type ChainLoad, type ChainResult, type ScarceService, playChains } from './fixtures/chainLoad.js';
 
 const PLAY_MS = 8000;
-const SEEDS = ['1', '2', '3', '4'];
+/** Shares differ by 0.05 between seeds; over twelve, the mechanisms stand out of that. */
+const SEEDS = Array.from({ length: 12 }, (_, index) => String(index + 1));
 const SERVICE: ScarceService = { upstreams: 3, slots: 36 };
 /** Room for as many calls at once as the service has slots: the demand of these is 1.29 times that. */
 const CHAINS: ChainLoad = {
@@ -37,11 +38,22 @@
 };
 const LOADS = [CHAINS, IMPORTANT_CHAINS, LONG_READS];
 
+/** Plays by the share that the service refuses: several tests look at one. */
+const plays = new Map<number, Promise<ChainResult[][]>>();
+
+function playsOf(service: ScarceService): Promise<ChainResult[][]> {
+  const shed = service.shed ?? 0;
+  let results = plays.get(shed);
+  if (!results)
+    plays.set(shed, (results = Promise.all(SEEDS.map(seed => playChains(service, LOADS, PLAY_MS, seed)))));
+  return results;
+}
+
 /** Shares of the requests of one kind, over all seeds. */
 async function sharesOf(index: number, service: ScarceService): Promise<ChainResult> {
   const sum = { sent: 0, served: 0, refused: 0, wasted: 0 };
-  for (const seed of SEEDS) {
-    const result = (await playChains(service, LOADS, PLAY_MS, seed))[index]!;
+  for (const results of await playsOf(service)) {
+    const result = results[index]!;
     for (const name of Object.keys(sum) as (keyof ChainResult)[]) sum[name] += result[name];
   }
   const { sent, served, refused, wasted } = sum;
@@ -55,7 +67,7 @@
     expect(served).to.be.above(0.64);
   });
 
-  it('go before long requests of the same importance: 0.68 served in place of 0.60, long ones 0.56, not 0.65', async () => {
+  it('go before long requests of the same importance: 0.68 served in place of 0.62, long ones 0.53, not 0.67', async () => {
     expect((await sharesOf(0, SERVICE)).served).to.be.above(0.66);
     expect((await sharesOf(2, SERVICE)).served).to.be.above(0.5);
   });
@@ -68,11 +80,11 @@
     expect((await sharesOf(0, { ...SERVICE, shed: 0.55 })).served).to.be.above(0.07);
   });
 
-  it('are served where they are most important when 12% are refused: 0.89 in place of 0.70', async () => {
+  it('are served where they are most important when 12% are refused: 0.88 in place of 0.69', async () => {
     expect((await sharesOf(1, { ...SERVICE, shed: 0.12 })).served).to.be.above(0.8);
   });
 
-  it('keep the room of a service that refuses 12% whatever its load: 0.61 served in place of 0.42', async () => {
+  it('keep the room of a service that refuses 12% whatever its load: 0.60 served in place of 0.42', async () => {
     expect((await sharesOf(0, { ...SERVICE, shed: 0.12 })).served).to.be.above(0.55);
   });
 });
