--- a/packages/admission/src/routeCosts.ts
+++ b/packages/admission/src/routeCosts.ts
@@ -2,10 +2,11 @@
  * What fresh requests of a route take of an upstream, against the mean of all that it runs. Where there is no room for
  * all, the room that one dear request takes serves several others of the same importance.
  *
- * Answers to: an upstream at the end of many chains that also serves long requests of its own. A request of twice the
- * mean work or more is refused as if its place among its equals were the root of what it is, but never more than twice
- * as often admitted as others: kinds that are dear are served less, and not shut out. Of the less important requests at
- * 1.29 times the room: chains 0.68 served in place of 0.62, long reads 0.53 in place of 0.67 (chains.spec.ts).
+ * Answers to: an upstream at the end of many chains that also serves long requests of its own. A request's place among
+ * those of its class is the fraction of its level. One of twice the mean work or more stands at the root of its place,
+ * which is further back, but is admitted at least half as often as others: dear kinds are served less, and not shut out.
+ * Of the less important requests at 1.29 times the room: chains 0.68 served in place of 0.62, long reads 0.53 in place of
+ * 0.67 (chains.spec.ts).
  */
 
 /** Weight of a run in the means: some fifty runs tell. */
--- a/packages/calls/src/forwarder.ts
+++ b/packages/calls/src/forwarder.ts
@@ -80,7 +80,7 @@
     const start = clock.now();
     retries.requested(route.service, context.isRepeat);
     const level = levelOf(context.class, context.rootId);
-    const sentAt = sendingLevel(level, context.depth);
+    const levelToSend = sendingLevel(level, context.depth);
     const tried = new Set<string>();
     let tokens = context.retryTokens;
     let last: RefusedTry | undefined;
@@ -90,7 +90,7 @@
     const end = (refusal: Refusal) => answerOf(endOf(asLastOf(refusal, mayHaveRun), tokens, last?.load));
     for (let number = context.try; ; number++) {
       const remainingMs = Math.floor(context.remainingMs - (clock.now() - start));
-      const selection = router.choose(route.service, route.name, level, tried, sentAt);
+      const selection = router.choose(route.service, route.name, level, tried, levelToSend);
       if (selection.kind !== 'chosen' || remainingMs <= 0)
         return end(last?.refusal ?? this.withoutUpstream(selection.kind, remainingMs));
       const { candidate } = selection;
--- a/packages/calls/src/link.ts
+++ b/packages/calls/src/link.ts
@@ -30,8 +30,9 @@
 /** A call whose first part has not come yet, or whose further parts are being read. */
 interface LinkedCall {
   /** Takes the first part; most answers have no other. */
-  readonly first: (part: AnswerPart) => void;
-  readonly failed: (error: LostContact) => void;
+  readonly onFirst: (part: AnswerPart) => void;
+  /** Ends the call, whether its first part has come or not. */
+  readonly onFailure: (error: LostContact) => void;
   /** Parts after the first. */
   rest: PartQueue<AnswerPart> | undefined;
   /** Made for requests that are sent in parts. */
@@ -98,13 +99,13 @@
     const number = ++this.lastNumber;
     if (!this.isInUse) this.startListening();
     return new Promise((resolve, reject) => {
-      const abandon = () => call.failed(new LostContact('The call was given up.', false));
+      const abandon = () => call.onFailure(new LostContact('The call was given up.', false));
       const finish = (isComplete: boolean) => {
         signal.removeEventListener('abort', abandon);
         this.end(number, call, isComplete);
       };
       const call: LinkedCall = {
-        first: part => {
+        onFirst: part => {
           if (isLast(part)) {
             finish(true);
             return resolve(answerOf(part));
@@ -112,7 +113,7 @@
           const rest = (call.rest = new PartQueue<AnswerPart>());
           resolve({ first: part, rest: this.rest(number, rest, finish) });
         },
-        failed: error => {
+        onFailure: error => {
           call.rest?.fail(error);
           finish(false);
           reject(error);
@@ -157,7 +158,7 @@
   fail(why: string): void {
     if (this.failure) return;
     this.failure = new LostContact(`${this.address} ${why}.`, false);
-    for (const call of [...this.calls.values()]) call.failed(this.failure);
+    for (const call of [...this.calls.values()]) call.onFailure(this.failure);
     this.stream.close();
     this.onFirstFrame();
     this.onEnd();
@@ -206,7 +207,7 @@
     if (credit > 0) call?.window?.give(credit);
     if (!answer || !call) return;
     if (call.rest) call.rest.push(answer);
-    else call.first(answer);
+    else call.onFirst(answer);
   }
 
   /** The first call after a pause: the peer owed nothing until now. */
