Keep confirmations in flight for a known time when their entry is told to end

Cause (traced by /explain of all daemons in two failing runs beside twelve busy processes): the confirmation that ended with 3005 was given to its upstream at once, and the stand-in worked on it for 5,054 ms: its service times are exponential with a mean of 800 ms, and the third draw of the seed of the first upstream is that long; the route's timeout is 5,000 ms. On an idle machine other requests take that draw before the test begins; beside load they are too few. The daemons answered as they should. Why the test was wrong: it needs four confirmations that are all in flight when the signal comes, and all end in time; random service times promise neither (a draw below 100 ms ended before the signal). Change: stand-ins can have constant service times, and the test uses 800 ms. As strict, since now all four are in flight for certain.

--- a/packages/standins/src/upstreamStandin.ts
+++ b/packages/standins/src/upstreamStandin.ts
@@ -30,8 +30,10 @@
 /** How it behaves; may be changed while it runs. */
 export interface UpstreamBehaviour {
   slots: number;
-  /** Mean of the exponential service time, ms. */
+  /** Mean service time, ms. */
   serviceMs: number;
+  /** How service times spread around their mean. */
+  serviceTimes: 'exponential' | 'constant';
   /** Work beyond slots and this backlog is refused with 503. */
   backlog: number;
   /** The first answers after a start take longer by this factor, falling to 1 over `coldMs`. */
@@ -48,6 +50,7 @@
 const DEFAULTS: UpstreamBehaviour = {
   slots: 16,
   serviceMs: 20,
+  serviceTimes: 'exponential',
   backlog: 100_000,
   coldFactor: 1,
   coldMs: 0,
@@ -175,10 +178,11 @@
   }
 
   private serviceTime(): number {
-    const { serviceMs, slowFactor, coldFactor, coldMs } = this.behaviour;
+    const { serviceMs, serviceTimes, slowFactor, coldFactor, coldMs } = this.behaviour;
     const age = performance.now() - this.startedAt;
     const cold = age < coldMs ? 1 + (coldFactor - 1) * (1 - age / coldMs) : 1;
-    return -Math.log(1 - this.random()) * serviceMs * slowFactor * cold;
+    const spread = serviceTimes === 'constant' ? 1 : -Math.log(1 - this.random());
+    return spread * serviceMs * slowFactor * cold;
   }
 
   private async callChildren(job: Job): Promise<unknown[]> {
--- a/tests/leaving.spec.ts
+++ b/tests/leaving.spec.ts
@@ -82,7 +82,7 @@
 
   it('an entry that is told to end cuts off no caller', async () => {
     const slow = fleet.nodes.filter(node => node.service === 'receiving');
-    await Promise.all(slow.map(node => fleet.behave(node, { serviceMs: 800 })));
+    await Promise.all(slow.map(node => fleet.behave(node, { serviceMs: 800, serviceTimes: 'constant' })));
     const told = [1, 2, 3, 4].map(i => confirm(entry, `last-${String(i)}`, {}));
     await pause(100);
     stop = true;
