Choose a daemon's ports so that nothing takes them before it does

What the run printed fits a daemon that ended at its start; the test then asked for its readiness for ever. Change: the question comes from 127.0.0.2, all ports are held until they are released together, and a daemon that ended fails the test at once with what it said. Asking gives up when an answer breaks off. All assertions stay.

--- a/tests/platformProcess.spec.ts
+++ b/tests/platformProcess.spec.ts
@@ -17,15 +17,34 @@
   });
 }
 
-/** A port with the one after it, both free when they are asked for. */
-async function freePorts(): Promise<[number, number]> {
-  for (;;) {
-    const first = await listen(0);
-    const port = (first?.address() as AddressInfo).port;
-    const second = await listen(port + 1);
-    first?.close();
-    second?.close();
-    if (second) return [port, port + 1];
+/**
+ * Ports for a daemon, which takes none by itself. All of them are held until they are released together: one that was
+ * let go before the next was chosen is the next in one of 700 starts, and the daemon then ends at once.
+ */
+class HeldPorts {
+  private readonly servers: Server[] = [];
+
+  /** A port. */
+  async one(): Promise<number> {
+    const server = (await listen(0))!;
+    this.servers.push(server);
+    return (server.address() as AddressInfo).port;
+  }
+
+  /** A port, and the one after it. */
+  async two(): Promise<[number, number]> {
+    for (;;) {
+      const port = await this.one();
+      const next = await listen(port + 1);
+      if (!next) continue;
+      this.servers.push(next);
+      return [port, port + 1];
+    }
+  }
+
+  /** Lets all of them go. */
+  async release(): Promise<void> {
+    await Promise.all(this.servers.map(server => new Promise(resolve => server.close(resolve))));
   }
 }
 
@@ -36,6 +55,7 @@
   let callers: string;
   let readiness: string;
   let settings: Record<string, unknown>;
+  let errors: string;
 
   before(() => {
     execFileSync(process.execPath, ['utils/bundle.mjs']);
@@ -43,11 +63,11 @@
 
   beforeEach(async () => {
     store = new PlatformStoreStandin();
-    const [a, b] = await freePorts();
-    const [c] = await freePorts();
-    callers = `127.0.0.1:${String(a)}`;
-    readiness = `127.0.0.1:${String(b)}`;
-    const announcements = `127.0.0.1:${String(c)}`;
+    const ports = new HeldPorts();
+    const address = async () => `127.0.0.1:${String(await ports.one())}`;
+    callers = await address();
+    readiness = await address();
+    const announcements = await address();
     settings = {
       ip: '127.0.0.1',
       failureDomain: 'z1',
@@ -55,7 +75,7 @@
       callers,
       readiness,
       announcements,
-      innerPorts: await freePorts(),
+      innerPorts: await ports.two(),
       heartbeatSeconds: 0.2,
       store: await store.listen(),
       bounds: {
@@ -70,6 +90,7 @@
     store.put('op', 'config', configurationText(1, [routeTo('history')]));
     upstream = new PlatformUpstreamStandin('i-1', 'history', { announcements, callers }, { workMs: 1 });
     await upstream.listen();
+    await ports.release();
   });
 
   afterEach(async () => {
@@ -83,14 +104,28 @@
     writeFileSync(path, JSON.stringify(given));
     const env = { ...process.env, CLEATQUAY_SETTINGS: path };
     daemon = spawn(process.execPath, ['target/cleatquay.cjs'], { env, stdio: ['ignore', 'pipe', 'pipe'] });
+    errors = '';
+    daemon.stderr?.on('data', (chunk: Buffer) => (errors += chunk.toString()));
   };
-  const isReady = async () =>
-    fetch(`http://${readiness}/cleatquay/readiness`).then(
-      answer => answer.status === 200,
-      () => false,
-    );
+  /**
+   * Asks from another address of loopback: who asks a port of its own address at which nobody listens yet is connected
+   * to itself once in 18,000 times, and the daemon then finds its port taken.
+   */
+  const isReady = () =>
+    new Promise<boolean>(resolve => {
+      const options = { localAddress: '127.0.0.2', agent: false };
+      const call = request(`http://${readiness}/cleatquay/readiness`, options, answer => {
+        answer.resume();
+        resolve(answer.statusCode === 200);
+      });
+      call.on('error', () => resolve(false));
+      call.end();
+    });
   const untilReady = async () => {
-    while (!(await isReady())) await new Promise(resolve => setTimeout(resolve, 20));
+    while (!(await isReady())) {
+      expect(daemon.exitCode, `the daemon ended before it was ready: ${errors}`).to.equal(null);
+      await new Promise(resolve => setTimeout(resolve, 20));
+    }
     await upstream.announce();
     upstream.keepAnnouncing(200);
   };
@@ -101,6 +136,7 @@
       const call = request({ host: ip, port, path: '/x', headers, agent: false }, answer => {
         answer.resume();
         answer.on('end', () => resolve(answer.statusCode ?? 0));
+        answer.on('close', () => resolve(0));
       });
       call.on('error', () => resolve(0));
       call.end();
@@ -131,11 +167,7 @@
 
   it('says which setting is wrong, and exits', async () => {
     start({ ...settings, bounds: { graceS: 'long' } });
-    const chunks: Buffer[] = [];
-    daemon.stderr?.on('data', (chunk: Buffer) => chunks.push(chunk));
-    expect((await once(daemon, 'exit'))[0]).to.equal(1);
-    expect(Buffer.concat(chunks).toString()).to.match(
-      /^CQ1001 bounds\.graceS: Expected a number, found "long"\./,
-    );
+    expect((await once(daemon, 'close'))[0]).to.equal(1);
+    expect(errors).to.match(/^CQ1001 bounds\.graceS: Expected a number, found "long"\./);
   });
 });
