Make the test of the margin able to fail, and copy a call's context once

Read once more, against: - the test that a full near upstream is kept had near and far equally busy, where it was kept before the margin, too. Now 15 and 13 of 10 slots; with the margin taken out it fails (run).

--- a/packages/calls/src/forwarder.ts
+++ b/packages/calls/src/forwarder.ts
@@ -96,7 +96,15 @@
       const { candidate } = selection;
       const handed = Math.ceil(tokens / 2);
       const kept = tokens - handed;
-      const sent = { ...this.contextOf(context, number, remainingMs, handed, candidate), isRepeat };
+      const sent: CallContext = {
+        ...context,
+        try: number,
+        remainingMs,
+        retryTokens: handed,
+        targetEpoch: candidate.epoch,
+        toHome: false,
+        isRepeat,
+      };
       journal.note(context.requestId, 'Sent to an upstream.', {
         try: number,
         to: candidate.address,
@@ -136,16 +144,6 @@
     }
   }
 
-  private contextOf(
-    context: CallContext,
-    number: number,
-    remainingMs: number,
-    retryTokens: number,
-    { epoch }: Candidate,
-  ): CallContext {
-    return { ...context, try: number, remainingMs, retryTokens, targetEpoch: epoch, toHome: false };
-  }
-
   /** One try: gives its answer, or why there is none. */
   private async attempt(attempt: Attempt): Promise<CallAnswer | RefusedTry> {
     const { router, peers, self, local, retries } = this.options;
--- a/packages/calls/src/linkStream.ts
+++ b/packages/calls/src/linkStream.ts
@@ -1,6 +1,6 @@
 /**
- * Frames of a link over TCP: each is its length in four bytes, big end first, then the message. A stream of gRPC carried
- * them before; it cost an eighth of all processor time of a call (docs/design/call-cost.md).
+ * Frames of a link over TCP: each is its length in four bytes, big end first, then the message. They save an eighth of all
+ * processor time of a call against a stream of gRPC (docs/design/call-cost.md).
  */
 import { LinkFrame } from '@cleatquay/protocol';
 import { type Socket } from 'node:net';
--- a/tests/routing.spec.ts
+++ b/tests/routing.spec.ts
@@ -1,6 +1,6 @@
 import { ManualClock, seededRandom } from '@cleatquay/clock';
 import { type Member } from '@cleatquay/protocol';
-import { Directory, Router } from '@cleatquay/routing';
+import { Directory, Router, type RouterOptions } from '@cleatquay/routing';
 import { expect } from 'chai';
 
 const NOBODY: ReadonlySet<string> = new Set();
@@ -24,14 +24,18 @@
     directory.update(member('1', 'a'));
     directory.update(member('2', 'b'));
     directory.update(member('3', 'c'));
-    router = new Router({
+    router = newRouter();
+  });
+
+  const newRouter = (contactOf?: RouterOptions['contactOf']) =>
+    new Router({
       clock,
       random: seededRandom('routing'),
       directory,
       self: 'me',
       failureDomain: 'a',
+      ...(contactOf && { contactOf }),
     });
-  });
 
   const chosen = (level = 1) => {
     const selection = router.choose('s', 's.run', level, NOBODY);
@@ -65,11 +69,22 @@
     expect(shares()).to.not.have.any.keys('127.0.0.1:1');
   });
 
-  it('stays near when all are full: further away there is no more room', () => {
-    ['1', '2', '3'].forEach(name => {
-      for (let i = 0; i < 15; i++) router.started(`127.0.0.1:${name}`);
+  describe('a near upstream that is full', () => {
+    /** Starts so many calls for each ten slots of the near one, and of the others. */
+    const start = (near: number, far: number) => {
+      for (let i = 0; i < near; i++) router.started('127.0.0.1:1');
+      for (let i = 0; i < far; i++) ['2', '3'].forEach(name => router.started(`127.0.0.1:${name}`));
+    };
+
+    it('is taken when those further away are hardly less busy', () => {
+      start(15, 13);
+      expect(shares()).to.have.all.keys('127.0.0.1:1');
+    });
+
+    it('is not taken when they are much less busy', () => {
+      start(15, 12);
+      expect(shares()).to.not.have.any.keys('127.0.0.1:1');
     });
-    expect(shares()).to.have.all.keys('127.0.0.1:1');
   });
 
   it('avoids a near upstream that is far slower than the others, but for a trickle', () => {
@@ -126,14 +141,7 @@
   describe('the level of a service', () => {
     it('is open while one of its upstreams is in contact, and closed when none is', () => {
       const lost = new Set<string>();
-      router = new Router({
-        clock,
-        random: seededRandom('routing'),
-        directory,
-        self: 'me',
-        failureDomain: 'a',
-        contactOf: ({ address }) => (lost.has(address) ? 'lost' : 'good'),
-      });
+      router = newRouter(({ address }) => (lost.has(address) ? 'lost' : 'good'));
       ['1', '2'].forEach(name => lost.add(`127.0.0.1:${name}`));
       expect(router.levelFor('s', 's.run')).to.equal(Number.MAX_VALUE);
       lost.add('127.0.0.1:3');
