Log when requests wait for the processor, and how a daemon ends

Change: one line when timers begin to come late and one when that is over (at most two a second), a gauge cleatquay_processor_lag_ms, and a line each for the two steps of an end, with what is in flight. No decision changes.

--- a/packages/admission/src/processorPressure.ts
+++ b/packages/admission/src/processorPressure.ts
@@ -25,6 +25,8 @@
     private readonly clock: Clock,
     /** Number of importance classes; the level at which everything is admitted. */
     private readonly classes: () => number,
+    /** Told of each sample: how late it was, ms, and whether that is more than is borne. */
+    private readonly onSample: (lagMs: number, isLagging: boolean) => void = () => undefined,
   ) {
     this.timer = this.schedule();
   }
@@ -54,6 +56,7 @@
     return this.clock.after(SAMPLE_MS, () => {
       this.lag = Math.max(0, this.clock.now() - due);
       this.share = this.isLagging ? Math.max(0, this.share - FALL) : Math.min(1, this.share + RISE);
+      this.onSample(this.lag, this.isLagging);
       this.timer = this.schedule();
     });
   }
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -2,6 +2,7 @@
 export { type AnswerWriter } from './callerAnswer.js';
 export { Daemon, type DaemonParts } from './daemon.js';
 export { type Installation, type Listener, RelayDaemon, type RelayDaemonParts } from './relayDaemon.js';
-export { type CallerDialect } from './relayGateway.js';
+export { type CallerDialect, RelayGateway } from './relayGateway.js';
+export { PressureLog } from './pressureLog.js';
 export { type RelaySettings } from './relaySettings.js';
 export { Upstreams, type Announcement } from './upstreams.js';
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -29,6 +29,7 @@
 import { operatorGateway } from './operatorGateway.js';
 import { quietBroker } from './quietBroker.js';
 import { type CallerDialect, RelayGateway } from './relayGateway.js';
+import { PressureLog } from './pressureLog.js';
 import { type RelayReportParts, relayDump, relayStatus } from './relayReport.js';
 import { type RelaySettings } from './relaySettings.js';
 import { type Announcement, type UpstreamBounds, type Upstreams } from './upstreams.js';
@@ -105,9 +106,22 @@
   private endsAt = Number.POSITIVE_INFINITY;
 
   private constructor(private readonly parts: RelayDaemonParts) {
-    const { clock, random, installation } = parts;
+    const { clock, random, log, installation } = parts;
     this.learned = new LearnedCalls(clock);
-    this.pressure = new ProcessorPressure(clock, () => this.classes);
+    const processorLog = log.child({ part: 'processor' });
+    const pressureLog = new PressureLog(clock, (message, facts) =>
+      processorLog.info(facts, `Processor: ${message}`),
+    );
+    this.pressure = new ProcessorPressure(
+      clock,
+      () => this.classes,
+      (lagMs, isLagging) => pressureLog.sampled(lagMs, isLagging),
+    );
+    this.metrics.gauge(
+      'cleatquay_processor_lag_ms',
+      'How late the latest timer was',
+      () => this.pressure.lagMs,
+    );
     this.configuration = new Configuration(
       clock,
       sections => new HostRoutes(installation.plan(sections), random, this.configuration.inForce),
@@ -178,6 +192,7 @@
     await clock.sleep(Math.min(UNREADY_SEEN_MS, settings.graceMs / 2));
     this.upstreams.setDraining(true);
     while (!this.isIdle() && clock.now() < this.endsAt) await clock.sleep(DRAIN_CHECK_MS);
+    this.logEnd('Daemon: Waits no longer for what is in flight.');
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -185,6 +200,7 @@
     this.pressure[Symbol.dispose]();
     this.listeners.stopAccepting();
     await this.parts.clock.sleep(LAST_BYTES_MS);
+    this.logEnd('Daemon: Closes the connections of its callers.');
     // What is still in flight has had its grace; a server that closes would wait for it.
     this.listeners.closeConnections();
     await this.broker.stop();
@@ -194,6 +210,12 @@
     await this.core[Symbol.asyncDispose]();
   }
 
+  private logEnd(message: string): void {
+    const { clock, log } = this.parts;
+    const leavingForMs = Math.round(clock.now() - (this.leavingSince ?? clock.now()));
+    log.info({ leavingForMs, inFlight: this.inFlight, running: this.core.running.size }, message);
+  }
+
   private startCore(): Promise<Core> {
     const { settings, clock, random, log, installation } = this.parts;
     const { retries } = settings;
