Take nothing more once an entry has decided to end

Cause: a daemon that was told to end stops waiting as soon as nothing is in flight, closes its listeners, and 100 ms later all connections. What came meanwhile over connections that callers keep open was still taken, since the time that it had was reckoned to the end of the grace; what an upstream had begun by then was cut off without an answer. Change: the decision to end is the end of the time that is left, so that whatever comes after it is refused as not run.

--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -102,7 +102,7 @@
   private classes = 1;
   private hasMet = false;
   private leavingSince: number | undefined;
-  /** Clock time at which it stops waiting for what is in flight, ms. */
+  /** Clock time at which it stops waiting for what is in flight, ms; once it has stopped, the time at which it did. */
   private endsAt = Number.POSITIVE_INFINITY;
 
   private constructor(private readonly parts: RelayDaemonParts) {
@@ -192,6 +192,8 @@
     await clock.sleep(Math.min(UNREADY_SEEN_MS, settings.graceMs / 2));
     this.upstreams.setDraining(true);
     while (!this.isIdle() && clock.now() < this.endsAt) await clock.sleep(DRAIN_CHECK_MS);
+    // From here on nothing is taken any more: callers keep using open connections until these are closed.
+    this.endsAt = Math.min(this.endsAt, clock.now());
     this.logEnd('Daemon: Waits no longer for what is in flight.');
   }
 
