--- a/packages/calls/src/index.ts
+++ b/packages/calls/src/index.ts
@@ -1,5 +1,5 @@
 /** One client request through the daemons: deadlines, retries, at most once, and what its caller is told. */
-export { BodyCheck } from './answers.js';
+export { BodyCheck, replay } from './answers.js';
 export {
   type CallAnswer,
   type CallBody,
