Count a request as in flight until its answer has left

Change: the gateway ends a request with the close of its response, which comes after the last byte or with the connection; a caller that left counts as contactLost, as it did.

--- a/packages/daemon/src/relayGateway.ts
+++ b/packages/daemon/src/relayGateway.ts
@@ -24,6 +24,9 @@
   idleTimeoutMs: 15_000,
 };
 
+/** How a request is counted whose caller left before its answer. */
+const CALLER_GONE = refusalOf('contactLost', 'The caller left.');
+
 /** How unchanged callers mark their requests, and are told when to come back. */
 export interface CallerDialect {
   /** The caller's id of this attempt; empty if it gives none. */
@@ -79,23 +82,26 @@
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const { relay, dialect, isLeaving, isLagging, started } = this.options;
     const gone = new Cancellation();
+    const ended = started();
+    let refusal: Refusal | undefined;
+    // In flight until the last byte has left: a daemon that ends closes its connections once nothing is.
     response.on('close', () => {
       if (!response.writableFinished) gone.abort(CALLER_LEFT);
+      ended(response.writableFinished ? refusal : CALLER_GONE);
     });
-    const ended = started();
     if (isLeaving()) response.setHeader('connection', 'close');
     try {
       if (isLagging()) await nextPoll();
-      if (gone.aborted) return ended(undefined);
+      if (gone.aborted) return;
       const answer = await relay.handle(this.read(request), this.bodyOf(request), gone.signal);
-      const refusal = await writeAnswer(response, answer, dialect.writer);
-      ended(refusal);
+      // Most answers are a single part, whose response may close before the next line resolves.
+      refusal = answer.first.refusal;
+      refusal = await writeAnswer(response, answer, dialect.writer);
     } catch (error) {
       const failure = asFailure(error);
-      const refusal = refusalOf(failure.result, failure.describe());
+      refusal = refusalOf(failure.result, failure.describe());
       if (response.headersSent) response.destroy();
       else dialect.writer.refusal(response, refusal);
-      ended(refusal);
     }
   }
 
