Tell the level of the upstreams that calls go to

Cause: the level of a service was the highest of its upstreams, and one of which nothing had been heard for seconds counted as open. Calls stay with a near upstream that isn't busy, so that every daemon on the way up told that all was open, and requests were let in of which none could be served. Change: only upstreams that were heard of within 0.5 s of the latest count; when nothing is heard any more, they open little by little as before.

--- a/packages/routing/src/peerStatistics.ts
+++ b/packages/routing/src/peerStatistics.ts
@@ -81,6 +81,11 @@
     return this.clock.now() < this.avoidUntil;
   }
 
+  /** Clock time at which it last told its level for calls to `route`, ms; long ago if it never did. */
+  levelHeardAt(route: string): number {
+    return this.levels.get(route)?.at ?? Number.NEGATIVE_INFINITY;
+  }
+
   /** The level from which on it refuses calls to `route`; opens by itself when nothing more is heard. */
   levelFor(route: string): number {
     const heard = this.levels.get(route);
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -16,6 +16,8 @@
 const GRAY_FACTOR = 3;
 const GRAY_SAMPLES = 5;
 const GRAY_TRICKLE = 0.05;
+/** Upstreams that were heard of within so many ms are used by turns, ms: several calls of a service that is called at all. */
+const IN_USE_MS = 500;
 /** A bound holds for so many ms, less than a slow upstream needs to be told apart (three calls under way). */
 const GRAY_BOUND_HOLDS_MS = 10;
 /** A bound holds for so many choices, so that it follows under the heaviest load, too. */
@@ -100,15 +102,25 @@
   }
 
   /**
-   * The level from which on every upstream of the service refuses calls to `route`; 0 if none is in contact, since work
-   * that needs it would be done in vain.
+   * The level from which on calls to `route` are refused wherever they go just now; 0 if no upstream of the service is in contact, since
+   * work that needs it would be done in vain.
+   *
+   * Only those count that were heard of last, since that is where the calls go. Nothing is heard of an upstream far away as long as a near one
+   * is not busy; taken for open, it would hide that the way on from the near one is closed. With two services in between, 300 of 300 requests
+   * were let in of which none could be served (logged samples of a day).
    */
   levelFor(service: string, route: string): number {
-    let highest = 0;
-    for (const { candidate, statistics } of this.subset(service).all) {
-      if (this.contactOf(candidate) !== 'lost') highest = Math.max(highest, statistics.levelFor(route));
-    }
-    return highest;
+    const inContact = this.subset(service).all.filter(
+      ({ candidate }) => this.contactOf(candidate) !== 'lost',
+    );
+    const heardAt = ({ statistics }: Known) => statistics.levelHeardAt(route);
+    const latest = inContact.reduce(
+      (time, known) => Math.max(time, heardAt(known)),
+      Number.NEGATIVE_INFINITY,
+    );
+    return inContact
+      .filter(known => heardAt(known) >= latest - IN_USE_MS)
+      .reduce((highest, { statistics }) => Math.max(highest, statistics.levelFor(route)), 0);
   }
 
   /** A call to the candidate starts; call the result when it has ended. */
--- a/tests/routing.spec.ts
+++ b/tests/routing.spec.ts
@@ -163,9 +163,11 @@
       expect(router.levelFor('s', 's.run')).to.be.below(1);
     });
 
-    it('opens when nothing more is heard of any', () => {
+    it('opens little by little when nothing more is heard of any', () => {
       router.heard('127.0.0.1:1', 's.run', { inFlight: 2, queued: 0, limit: 10, admissionLevel: 0.2 });
-      clock.advance(7000);
+      clock.advance(1000);
+      expect(router.levelFor('s', 's.run')).to.be.below(1);
+      clock.advance(6000);
       expect(router.levelFor('s', 's.run')).to.be.above(3);
     });
 
