Learn within a second whether an upstream slows down when nearly full

Cause: with tries for a twentieth of the time a saturated upstream needs ten seconds until enough runs are known for both. Change: half of the time until then.

--- a/packages/admission/src/fullLoad.ts
+++ b/packages/admission/src/fullLoad.ts
@@ -3,7 +3,7 @@
  * left free. So it is tried: for a twentieth of the time the other number of slots is used, and the times of runs are compared.
  *
  * Answers to: a service that is too small for what is asked of it. An upstream of 20 slots that takes 1.3 times as long from 19 on ran 446 calls a
- * second with all of them (seen on a users' day); with 18, a fifth more of the requests that need it are served (shortage.spec.ts).
+ * second with all of them (seen on a users' day). Of the most important requests of shortage.spec.ts 0.575 are served in place of 0.51.
  */
 import { type Clock } from '@cleatquay/clock';
 
@@ -20,8 +20,12 @@
  */
 const WEIGHT = 0.003;
 const TELLING_RUNS = 100;
-/** The other number of slots is tried for a twentieth of the time: where nothing is gained by it, that costs half a hundredth of the room. */
+/**
+ * The other number of slots is tried for a twentieth of the time: where nothing is gained by it, that costs half a hundredth of the room. Until
+ * enough is known, it is tried for half of the time: a busy upstream then tells within a second, in place of ten.
+ */
 const TRIED_EVERY_MS = 2000;
+const FIRST_TRIED_EVERY_MS = 200;
 const TRIED_FOR_MS = 100;
 
 interface Mean {
@@ -56,11 +60,15 @@
     if (share >= FULL_FROM) add(times.full, ms);
     else if (share >= PARTLY_FROM && share <= SHARE_BELOW_FULL) add(times.partly, ms);
     else return;
-    const isTrial = this.clock.now() % TRIED_EVERY_MS < TRIED_FOR_MS;
-    this.share = this.isSlowerWhenFull() === isTrial ? 1 : SHARE_BELOW_FULL;
+    const factor = this.factorWhenFull();
+    const triedEvery = factor === undefined ? FIRST_TRIED_EVERY_MS : TRIED_EVERY_MS;
+    const isTrial = this.clock.now() % triedEvery < TRIED_FOR_MS;
+    const isSlower = (factor ?? 1) > TELLING_FACTOR;
+    this.share = isSlower === isTrial ? 1 : SHARE_BELOW_FULL;
   }
 
-  private isSlowerWhenFull(): boolean {
+  /** How much longer the same runs take when it is nearly full; undefined if not enough is known. */
+  private factorWhenFull(): number | undefined {
     let partlyMs = 0;
     let fullMs = 0;
     for (const { partly, full } of this.routes.values()) {
@@ -69,7 +77,7 @@
       partlyMs += runs * partly.ms;
       fullMs += runs * full.ms;
     }
-    return fullMs > partlyMs * TELLING_FACTOR;
+    return partlyMs === 0 ? undefined : fullMs / partlyMs;
   }
 
   private timesOf(route: string): RouteTimes {
