--- a/tests/linkServer.spec.ts
+++ b/tests/linkServer.spec.ts
@@ -1,5 +1,5 @@
-import { EMPTY_ITEM, LinkServer, NO_HEAD, WorkTurns, answerOf } from '@cleatquay/calls';
-import { SystemClock } from '@cleatquay/clock';
+import { type CallHandler, EMPTY_ITEM, LinkServer, NO_HEAD, WorkTurns, answerOf } from '@cleatquay/calls';
+import { ManualClock, SystemClock } from '@cleatquay/clock';
 import { LinkFrame, type LinkItem, endOf, refusalOf } from '@cleatquay/protocol';
 import { expect } from 'chai';
 import { EventEmitter } from 'node:events';
@@ -58,6 +58,21 @@
     expect(await handledAfter(true)).to.equal(0);
   });
 
+  it('takes the time that a call has waited here off its time', async () => {
+    const manual = new ManualClock();
+    const socket = fakeSocket();
+    const remaining: (number | undefined)[] = [];
+    const handle: CallHandler = ({ context }) => {
+      remaining.push(context?.remainingMs);
+      return Promise.resolve(answerOf(endOf(refusalOf('overloaded', ''), 0)));
+    };
+    const server = new LinkServer(socket as never, handle, manual, new WorkTurns(manual, () => true));
+    server.receive(bytesOf(REQUEST));
+    manual.advance(70);
+    for (let turn = 0; turn < 4; turn++) await new Promise(resolve => setImmediate(resolve));
+    expect(remaining).to.deep.equal([CALL_CONTEXT.remainingMs - 70]);
+  });
+
   it('starts a call at once when it is not', async () => {
     expect(await handledAfter(false)).to.equal(1);
   });
