Let a turn tell how long a request has waited for it

Cause: both places that wait for a turn measured the wait themselves, with a clock each and two more readings of it for every request. Change: WorkTurns.take resolves with the wait.

--- a/packages/calls/src/innerServer.ts
+++ b/packages/calls/src/innerServer.ts
@@ -1,5 +1,4 @@
 /** The server of the inner protocol: links, and gRPC for what is rare, on one port. */
-import { type Clock } from '@cleatquay/clock';
 import {
   type ConfigurationAnswer,
   type ConfigurationRequest,
@@ -16,7 +15,6 @@
 /** What peers may ask of this daemon. */
 export interface InnerHandlers {
   readonly exchange: CallHandler;
-  readonly clock: Clock;
   readonly turns: WorkTurns;
   readonly seal: (request: SealRequest) => Promise<SealAnswer>;
   readonly configuration: (request: ConfigurationRequest) => ConfigurationAnswer;
@@ -89,8 +87,8 @@
   }
 
   private serveLink(socket: Socket, first: Buffer): void {
-    const { exchange, clock, turns } = this.handlers;
-    const link = new LinkServer(socket, exchange, clock, turns);
+    const { exchange, turns } = this.handlers;
+    const link = new LinkServer(socket, exchange, turns);
     this.links.set(socket, link);
     socket.once('close', () => this.links.delete(socket));
     link.receive(first);
--- a/packages/calls/src/linkServer.ts
+++ b/packages/calls/src/linkServer.ts
@@ -1,5 +1,5 @@
 /** The called end of a link. */
-import { CALLER_LEFT, Cancellation, type Clock } from '@cleatquay/clock';
+import { CALLER_LEFT, Cancellation } from '@cleatquay/clock';
 import {
   type AnswerPart,
   type LinkItem,
@@ -34,7 +34,6 @@
   constructor(
     socket: Socket,
     private readonly handle: CallHandler,
-    private readonly clock: Clock,
     private readonly turns: WorkTurns,
   ) {
     this.stream = new LinkStream(socket, {
@@ -89,12 +88,11 @@
     };
     if (!isUsableHead(head)) return send(endOf(refusalOf('innerMessageInvalid', 'No usable head.'), 0));
     try {
-      const readAt = this.clock.now();
       const turn = this.turns.take();
-      if (turn) await turn;
+      const waitedMs = turn ? await turn : 0;
       if (gone.signal.aborted) return;
       const body = parts ? this.bodyOf(number, parts) : first.body;
-      const begun = turn ? withLessTime(head, this.clock.now() - readAt) : head;
+      const begun = waitedMs > 0 ? withLessTime(head, waitedMs) : head;
       const answer = await this.handle(begun, body, gone.signal);
       send(answer.first);
       if (!answer.rest) return;
--- a/packages/calls/src/workTurns.ts
+++ b/packages/calls/src/workTurns.ts
@@ -19,7 +19,8 @@
   readonly since: number;
   /** The turn in which its request was read. */
   readonly turn: number;
-  readonly resume: () => void;
+  /** Told how long it has waited, ms. */
+  readonly resume: (waitedMs: number) => void;
 }
 
 /** The turns of one process. */
@@ -35,8 +36,8 @@
     private readonly isLagging: () => boolean,
   ) {}
 
-  /** Asks for time to begin a request that was just read: undefined if there is some now, or resolves when there is. */
-  take(): Promise<void> | undefined {
+  /** Asks for time to begin a request that was just read: undefined if there is some now; else resolves with the wait, ms, when there is. */
+  take(): Promise<number> | undefined {
     const now = this.clock.now();
     this.openTurn(now);
     const mayBegin = this.waiting.length === 0 && now < this.sliceEnd && !this.isLagging();
@@ -63,11 +64,11 @@
     this.isTurnOpen = false;
     if (this.waiting.length === 0) return;
     this.openTurn(this.clock.now());
-    while (this.clock.now() < this.sliceEnd) {
+    for (let now = this.clock.now(); now < this.sliceEnd; now = this.clock.now()) {
       const [first] = this.waiting;
       if (!first || first.turn >= lastTurn) return;
       this.waiting.shift();
-      first.resume();
+      first.resume(now - first.since);
       await BEGUN;
     }
   }
--- a/packages/daemon/src/core.ts
+++ b/packages/daemon/src/core.ts
@@ -174,7 +174,6 @@
       exchange: (head, body, signal) => serving(started).exchange(head, body, signal),
       seal: request => serving(started).upstreamSide.seal(request),
       configuration: options.configuration,
-      clock: options.clock,
       turns: options.turns,
     });
     const port = await inner.listen(ip, innerPort);
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -136,7 +136,6 @@
       dialect: installation.callers,
       limits: () => this.configuration.inForce?.plan.limits,
       isLeaving: () => this.leavingSince !== undefined,
-      clock,
       turns: this.turns,
       started: () => this.started(),
     });
--- a/packages/daemon/src/relayGateway.ts
+++ b/packages/daemon/src/relayGateway.ts
@@ -7,7 +7,6 @@
   type WorkTurns,
   passedRawHeaders,
 } from '@cleatquay/calls';
-import { type Clock } from '@cleatquay/clock';
 import { Failure, asFailure } from '@cleatquay/errors';
 import { type Refusal, refusalOf } from '@cleatquay/protocol';
 import { type RouteLimits } from '@cleatquay/routes';
@@ -44,7 +43,6 @@
   readonly dialect: CallerDialect;
   readonly limits: () => RouteLimits | undefined;
   readonly isLeaving: () => boolean;
-  readonly clock: Clock;
   readonly turns: WorkTurns;
   /** Told of each request; the result is to be called when it has ended. */
   readonly started: () => (refusal: Refusal | undefined) => void;
@@ -78,7 +76,7 @@
 
   /** One request, from its header to the end of its answer. */
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const { relay, dialect, clock, turns, isLeaving, started } = this.options;
+    const { relay, dialect, turns, isLeaving, started } = this.options;
     const gone = departureOf(request, response);
     const ended = started();
     let refusal: Refusal | undefined;
@@ -86,11 +84,9 @@
     response.on('close', () => ended(response.writableFinished ? refusal : CALLER_GONE));
     if (isLeaving()) response.setHeader('connection', 'close');
     try {
-      const readAt = clock.now();
       const turn = turns.take();
-      if (turn) await turn;
+      const waitedMs = turn ? await turn : 0;
       if (gone.aborted) return;
-      const waitedMs = turn ? clock.now() - readAt : 0;
       const answer = await relay.handle(this.read(request, waitedMs), this.bodyOf(request), gone.signal);
       // Most answers are a single part, whose response may close before the next line resolves.
       refusal = answer.first.refusal;
--- a/tests/departedCallers.spec.ts
+++ b/tests/departedCallers.spec.ts
@@ -85,7 +85,6 @@
         dialect: callerDialect,
         limits: () => undefined,
         isLeaving: () => false,
-        clock,
         turns: new WorkTurns(clock, () => pressure.isLagging),
         started: () => () => undefined,
       });
--- a/tests/linkServer.spec.ts
+++ b/tests/linkServer.spec.ts
@@ -44,9 +44,9 @@
       handled++;
       return Promise.resolve(answerOf(endOf(refusalOf('overloaded', ''), 0)));
     };
-    expect(
-      new LinkServer(socket as never, handle, clock, new WorkTurns(clock, () => isLagging)),
-    ).to.be.instanceOf(LinkServer);
+    expect(new LinkServer(socket as never, handle, new WorkTurns(clock, () => isLagging))).to.be.instanceOf(
+      LinkServer,
+    );
     socket.emit('data', bytesOf(REQUEST));
     await new Promise(resolve => setImmediate(resolve));
     socket.emit('data', bytesOf({ ...EMPTY_ITEM, call: 1, cancel: true }));
@@ -66,7 +66,7 @@
       remaining.push(context?.remainingMs);
       return Promise.resolve(answerOf(endOf(refusalOf('overloaded', ''), 0)));
     };
-    const server = new LinkServer(socket as never, handle, manual, new WorkTurns(manual, () => true));
+    const server = new LinkServer(socket as never, handle, new WorkTurns(manual, () => true));
     server.receive(bytesOf(REQUEST));
     manual.advance(70);
     for (let turn = 0; turn < 4; turn++) await new Promise(resolve => setImmediate(resolve));
--- a/tests/slowReaders.spec.ts
+++ b/tests/slowReaders.spec.ts
@@ -15,7 +15,6 @@
  * yet read, is cut off by that: it is in flight as much as one that is still to come.
  */
 describe('an answer to a caller that reads slowly', () => {
-  const clock = new SystemClock();
   let inFlight: number;
   let gateway: RelayGateway;
 
@@ -30,8 +29,7 @@
       dialect: callerDialect,
       limits: () => undefined,
       isLeaving: () => false,
-      clock,
-      turns: new WorkTurns(clock, () => false),
+      turns: new WorkTurns(new SystemClock(), () => false),
       started: () => {
         inFlight++;
         return () => inFlight--;
