--- a/packages/admission/src/adaptiveLimit.ts
+++ b/packages/admission/src/adaptiveLimit.ts
@@ -32,7 +32,9 @@
 
   /** The limit as a whole number, at least 1. */
   get value(): number {
-    return Math.max(1, Math.floor(Math.min(this.limit, this.slots * this.fullLoad.usableShare)));
+    // Rounded up: of two slots, one would be half of the room.
+    const usable = Math.ceil(this.slots * this.fullLoad.usableShare);
+    return Math.max(1, Math.floor(Math.min(this.limit, usable)));
   }
 
   /** The share of the announced slots that so many requests take. */
--- a/tests/fullLoad.spec.ts
+++ b/tests/fullLoad.spec.ts
@@ -47,6 +47,17 @@
     expect(partInFullUse(1)).to.be.above(0.85);
   });
 
+  it('are all of a few, of which a tenth would be more than a tenth', () => {
+    for (const slots of [1, 2, 5, 9]) {
+      const limit = new AdaptiveLimit(clock, slots, false);
+      for (let i = 0; i < 400; i++) {
+        clock.advance(10);
+        limit.ran('r', 1, 30);
+        expect(limit.value).to.equal(slots);
+      }
+    }
+  });
+
   it('are nine tenths of what it announces', () => {
     const limit = new AdaptiveLimit(clock, SLOTS, false);
     expect(limit.value).to.equal(20);
