--- a/tests/departedCallers.spec.ts
+++ b/tests/departedCallers.spec.ts
@@ -13,6 +13,7 @@
  * Evidence: printed by turn, node tells of a closed connection as "second wait over, answer closed" when the connection ends in
  * order, and as "answer closed, second wait over" when it is reset. Here, on the code before: 20 of 20 requests were sent on whose
  * callers had left 200 ms before anything was read (1), and 337 to 348 of 500 later than 250 ms after their callers (2).
+ * When the rule broke in a replay, no daemon's timers came 200 ms late: there, (1) in shorter turns is the likelier cause.
  */
 import { ProcessorPressure } from '@cleatquay/admission';
 import { WorkTurns, answerOf } from '@cleatquay/calls';
