--- a/packages/admission/src/fullLoad.ts
+++ b/packages/admission/src/fullLoad.ts
@@ -9,7 +9,7 @@
 
 /** From this share of its slots on, an upstream is nearly full. */
 const FULL_FROM = 0.95;
-/** Runs that began between these shares tell how fast it is with some slots free. */
+/** Runs that began from this share on, and below that, tell how fast it is with some slots free. */
 const PARTLY_FROM = 0.5;
 const SHARE_BELOW_FULL = 0.9;
 /** It runs more a second with that share if it is slower by more than 1.11 when full; a twentieth above that, for noise. */
@@ -58,7 +58,7 @@
   ran(route: string, share: number, ms: number): void {
     const times = this.timesOf(route);
     if (share >= FULL_FROM) add(times.full, ms);
-    else if (share >= PARTLY_FROM && share <= SHARE_BELOW_FULL) add(times.partly, ms);
+    else if (share >= PARTLY_FROM) add(times.partly, ms);
     else return;
     const factor = this.factorWhenFull();
     const triedEvery = factor === undefined ? FIRST_TRIED_EVERY_MS : TRIED_EVERY_MS;
--- a/tests/fullLoad.spec.ts
+++ b/tests/fullLoad.spec.ts
@@ -47,6 +47,19 @@
     expect(partInFullUse(1)).to.be.above(0.85);
   });
 
+  it('are all used for most of the time, however many they are', () => {
+    for (const slots of [11, 15, 19, 36, 63]) {
+      const limit = new AdaptiveLimit(clock, slots, false);
+      let full = 0;
+      for (let i = 0; i < 5000; i++) {
+        clock.advance(2);
+        limit.ran('r', limit.shareOf(limit.value), 30 * (0.13 + 1.74 * random()));
+        if (limit.value === slots) full++;
+      }
+      expect(full / 5000, `of ${String(slots)}`).to.be.above(0.85);
+    }
+  });
+
   it('are all of a few, of which a tenth would be more than a tenth', () => {
     for (const slots of [1, 2, 5, 9]) {
       const limit = new AdaptiveLimit(clock, slots, false);
