--- a/packages/daemon/src/httpListeners.ts
+++ b/packages/daemon/src/httpListeners.ts
@@ -6,6 +6,9 @@
 import { type AddressInfo } from 'node:net';
 import { gatewaySettings } from './gatewaySettings.js';
 
+/** In place of the route that moleculer-web adds where there is none, and whose parser of bodies it would load. */
+const UNUSED_ROUTE = { path: '/', bodyParsers: false };
+
 interface Listening {
   readonly name: string;
   readonly ip: string;
@@ -25,7 +28,7 @@
     this.broker.createService({
       name,
       mixins: [ApiGateway],
-      settings: { ...gatewaySettings(ip, port), routes: [] },
+      settings: { ...gatewaySettings(ip, port), routes: [UNUSED_ROUTE] },
       methods: {
         createServer(this: Service & { server: Server }) {
           this.server = server;
--- a/packages/daemon/src/operatorGateway.ts
+++ b/packages/daemon/src/operatorGateway.ts
@@ -9,6 +9,12 @@
 import { type Metrics } from './metrics.js';
 import { type Upstreams } from './upstreams.js';
 
+type BodyReader = (request: IncomingMessage, response: ServerResponse, next: () => void) => void;
+/** The body-parser that moleculer-web brings; its types don't mention it. */
+const { bodyParser } = ApiGateway as unknown as {
+  bodyParser: { json(options: { limit: string }): BodyReader };
+};
+
 /** What the gateway needs of its daemon. */
 export interface OperatorGatewayOptions {
   readonly ip: string;
@@ -36,7 +42,8 @@
         {
           path: '/',
           mappingPolicy: 'restrict',
-          bodyParsers: { json: { limit: '64kb' } },
+          bodyParsers: false,
+          use: [jsonBodies()],
           aliases: {
             'GET /health': 'operators.health',
             'GET /ready': (_request: IncomingMessage, response: ServerResponse) =>
@@ -76,6 +83,15 @@
   };
 }
 
+/** Reads JSON bodies. The parser is loaded for the first of them: on most deployments a daemon never gets one. */
+function jsonBodies(): BodyReader {
+  let read: BodyReader | undefined;
+  return (request, response, next) => {
+    read ??= bodyParser.json({ limit: '64kb' });
+    read(request, response, next);
+  };
+}
+
 function setDraining({ setDraining: set }: OperatorGatewayOptions, draining: boolean): object {
   set(draining);
   return { draining };
--- a/tests/platformProcess.spec.ts
+++ b/tests/platformProcess.spec.ts
@@ -2,7 +2,7 @@
 import { expect } from 'chai';
 import { type ChildProcess, execFileSync, spawn } from 'node:child_process';
 import { once } from 'node:events';
-import { mkdtempSync, writeFileSync } from 'node:fs';
+import { copyFileSync, mkdtempSync, writeFileSync } from 'node:fs';
 import { request } from 'node:http';
 import { type AddressInfo, type Server, createServer } from 'node:net';
 import { tmpdir } from 'node:os';
@@ -99,11 +99,14 @@
     await store[Symbol.asyncDispose]();
   });
 
-  const start = (given: unknown) => {
+  const start = (given: unknown, target = 'target') => {
     const path = join(mkdtempSync(join(tmpdir(), 'cleatquay-')), 'settings.json');
     writeFileSync(path, JSON.stringify(given));
     const env = { ...process.env, CLEATQUAY_SETTINGS: path };
-    daemon = spawn(process.execPath, ['target/cleatquay.cjs'], { env, stdio: ['ignore', 'pipe', 'pipe'] });
+    daemon = spawn(process.execPath, [join(target, 'cleatquay.cjs')], {
+      env,
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
     errors = '';
     daemon.stderr?.on('data', (chunk: Buffer) => (errors += chunk.toString()));
   };
@@ -158,6 +161,16 @@
     expect((await ended)[0]).to.equal(0);
   });
 
+  it('serves without the parts of its libraries that it seldom uses', async () => {
+    const target = mkdtempSync(join(tmpdir(), 'cleatquay-'));
+    for (const file of ['cleatquay.cjs', 'daemon.cjs', 'daemon.cache'])
+      copyFileSync(join('target', file), join(target, file));
+    start(settings, target);
+    daemon.stdout?.resume();
+    await untilReady();
+    expect(await ask('lean')).to.equal(200);
+  });
+
   it('answers on when nobody reads its log', async () => {
     start(settings);
     await untilReady();
