Let two daemons of each failure domain follow the store, and the others hear from them

Change: the two readers of each failure domain (by hash order) follow the store; the others ask a near reader over the link for what gossip says is there (ConfigurationSpread, links instead of gRPC), look themselves each 30 s, and follow the store while they hear nobody. A record that fails while a round is under way is no longer taken for written.

--- a/packages/calls/src/innerServer.ts
+++ b/packages/calls/src/innerServer.ts
@@ -43,10 +43,6 @@
           (error: unknown) => callback({ code: status.INTERNAL, details: String(error) }),
         );
       },
-      fetchConfiguration: (
-        call: { request: ConfigurationRequest },
-        callback: (error: null, answer: ConfigurationAnswer) => void,
-      ) => callback(null, handlers.configuration(call.request)),
     });
   }
 
@@ -87,8 +83,8 @@
   }
 
   private serveLink(socket: Socket, first: Buffer): void {
-    const { exchange, turns } = this.handlers;
-    const link = new LinkServer(socket, exchange, turns);
+    const { exchange, turns, configuration } = this.handlers;
+    const link = new LinkServer(socket, exchange, turns, configuration);
     this.links.set(socket, link);
     socket.once('close', () => this.links.delete(socket));
     link.receive(first);
--- a/packages/calls/src/link.ts
+++ b/packages/calls/src/link.ts
@@ -2,6 +2,7 @@
 import { type CancelSignal, type Clock } from '@cleatquay/clock';
 import {
   type AnswerPart,
+  type ConfigurationAnswer,
   type LinkFrame,
   type LinkItem,
   type RequestHead,
@@ -39,9 +40,16 @@
   window: SendWindow | undefined;
 }
 
+/** A question to the peer's configuration that waits for its answer. */
+interface Asked {
+  readonly resolve: (answer: ConfigurationAnswer) => void;
+  readonly reject: (error: LostContact) => void;
+}
+
 /** One link. It ends when the stream does, or when the peer falls silent. */
 export class Link {
   private readonly calls = new Map<number, LinkedCall>();
+  private readonly asked = new Map<number, Asked>();
   private readonly templates = new SentTemplates();
   private readonly stream: LinkStream;
   private readonly writer: LinkWriter;
@@ -79,7 +87,7 @@
 
   /** Whether calls wait for the peer, or it is not known yet whether it is there. */
   get isInUse(): boolean {
-    return this.calls.size > 0 || this.silent;
+    return this.calls.size > 0 || this.asked.size > 0 || this.silent;
   }
 
   /** Whether the peer owes an answer, to a ping at least, for longer than it should. */
@@ -130,6 +138,17 @@
     });
   }
 
+  /** What the peer's configuration has over a generation. Fails with LostContact when the link ends first. */
+  fetchConfiguration(generation: number): Promise<ConfigurationAnswer> {
+    if (this.failure) return Promise.reject(new LostContact(this.failure.message, true));
+    const number = ++this.lastNumber;
+    if (!this.isInUse) this.startListening();
+    return new Promise((resolve, reject) => {
+      this.asked.set(number, { resolve, reject });
+      this.writer.send({ call: number, configurationRequest: { generation } });
+    });
+  }
+
   private async *rest(
     number: number,
     parts: PartQueue<AnswerPart>,
@@ -159,6 +178,8 @@
     if (this.failure) return;
     this.failure = new LostContact(`${this.address} ${why}.`, false);
     for (const call of [...this.calls.values()]) call.onFailure(this.failure);
+    for (const { reject } of this.asked.values()) reject(this.failure);
+    this.asked.clear();
     this.stream.close();
     this.onFirstFrame();
     this.onEnd();
@@ -202,7 +223,8 @@
     for (const item of items) this.take(item);
   }
 
-  private take({ call: number, answer, credit }: LinkItem): void {
+  private take({ call: number, answer, credit, configuration }: LinkItem): void {
+    if (configuration) this.takeConfiguration(number, configuration);
     const call = this.calls.get(number);
     if (credit > 0) call?.window?.give(credit);
     if (!answer || !call) return;
@@ -210,6 +232,11 @@
     else call.onFirst(answer);
   }
 
+  private takeConfiguration(number: number, configuration: ConfigurationAnswer): void {
+    this.asked.get(number)?.resolve(configuration);
+    this.asked.delete(number);
+  }
+
   /** The first call after a pause: the peer owed nothing until now. */
   private startListening(): void {
     this.heardAt = this.clock.now();
--- a/packages/calls/src/linkParts.ts
+++ b/packages/calls/src/linkParts.ts
@@ -15,6 +15,8 @@
   credit: 0,
   ping: 0,
   pong: 0,
+  configurationRequest: undefined,
+  configuration: undefined,
 };
 
 /** Gathers the items of one turn of the event loop into one frame, which costs one write. */
--- a/packages/calls/src/linkServer.ts
+++ b/packages/calls/src/linkServer.ts
@@ -2,6 +2,8 @@
 import { CALLER_LEFT, Cancellation } from '@cleatquay/clock';
 import {
   type AnswerPart,
+  type ConfigurationAnswer,
+  type ConfigurationRequest,
   type LinkItem,
   type RequestHead,
   type RequestPart,
@@ -35,6 +37,8 @@
     socket: Socket,
     private readonly handle: CallHandler,
     private readonly turns: WorkTurns,
+    /** Answers what this daemon's configuration has over a generation. */
+    private readonly configuration: (request: ConfigurationRequest) => ConfigurationAnswer,
   ) {
     this.stream = new LinkStream(socket, {
       onFrame: ({ items }) => items.forEach(item => this.take(item)),
@@ -59,6 +63,9 @@
     const known = this.calls.get(item.call);
     if (item.credit > 0) known?.window?.give(item.credit);
     if (item.cancel && known) abandon(known);
+    const { configurationRequest } = item;
+    if (configurationRequest)
+      this.writer.send({ call: item.call, configuration: this.configuration(configurationRequest) });
     if (!item.request) return;
     if (known) known.parts?.push(item.request);
     else if (item.request.head) this.begin(item.call, item.request, this.templates.restore(item.request));
--- a/packages/calls/src/peers.ts
+++ b/packages/calls/src/peers.ts
@@ -60,7 +60,7 @@
   ): Promise<CallAnswer> {
     if (this.isCut(address)) throw new LostContact(`${address} is cut off.`, true);
     const link = this.links.get(address) ?? (await this.connectOrWatch(address));
-    this.check ??= this.clock.after(LINK_CHECK_MS, () => this.checkLinks());
+    this.lookAfterLinks();
     const answer = await link.exchange(head, body, signal);
     if (this.isCut(address)) throw new LostContact(`${address} was cut off.`, false);
     return answer;
@@ -99,18 +99,18 @@
   /** Asks a peer for its configuration over a generation. */
   async fetchConfiguration(address: string, generation: number): Promise<ConfigurationAnswer> {
     if (this.isCut(address)) throw new LostContact(`${address} is cut off.`, true);
-    return new Promise((resolve, reject) => {
-      const deadline = Date.now() + CONFIGURATION_TIMEOUT_MS;
-      this.client(address).fetchConfiguration(
-        { generation },
-        new Metadata(),
-        { deadline },
-        (error, answer) => {
-          if (error) reject(asLostContact(error, address));
-          else resolve(answer);
-        },
-      );
+    const link = this.links.get(address) ?? (await this.connectOrWatch(address));
+    this.lookAfterLinks();
+    const late = new Cancellation();
+    const inTime = this.clock.sleep(CONFIGURATION_TIMEOUT_MS, late.signal).then(() => {
+      throw new LostContact(`${address} did not give its configuration in time.`, false);
     });
+    inTime.catch(() => undefined);
+    try {
+      return await Promise.race([link.fetchConfiguration(generation), inTime]);
+    } finally {
+      late.abort(NOT_NEEDED);
+    }
   }
 
   /** Closes the client of a peer that is gone for good. */
@@ -141,6 +141,10 @@
     if (isInUse && !this.isClosed) this.check = this.clock.after(LINK_CHECK_MS, () => this.checkLinks());
   }
 
+  private lookAfterLinks(): void {
+    this.check ??= this.clock.after(LINK_CHECK_MS, () => this.checkLinks());
+  }
+
   private async connectOrWatch(address: string): Promise<Link> {
     try {
       return await this.connect(address);
--- a/packages/configuration/src/configurationSpread.ts
+++ b/packages/configuration/src/configurationSpread.ts
@@ -20,8 +20,10 @@
   readonly isReader: () => boolean;
   /** Asks a peer for what it has over `generation`. */
   readonly fetch: (peer: string, generation: number) => Promise<ConfigurationAnswer>;
+  /** Whom to ask for what a peer says that it has. */
+  readonly holderOf: (peer: string) => string;
   /** How long a source of this daemon's own has to bring what a peer has, before the peer is asked, ms. */
-  readonly patienceMs: number;
+  readonly patienceMs: (peer: string) => number;
   /** Some other peer that may have it. */
   readonly otherPeer: () => string | undefined;
   readonly log: (message: string) => void;
@@ -96,8 +98,8 @@
 
   private async fetchUntilCaughtUp(first: string): Promise<void> {
     const { configuration, clock, log } = this.options;
-    let peer: string | undefined = first;
-    await clock.sleep(this.options.patienceMs, this.stopped.signal);
+    await clock.sleep(this.options.patienceMs(first), this.stopped.signal);
+    let peer: string | undefined = this.options.holderOf(first);
     while (configuration.generation < this.wanted && !this.stopped.signal.aborted) {
       if (peer !== undefined && (await this.fetchOnce(peer))) {
         log(`Generation ${String(configuration.generation)} came from ${peer}.`);
--- a/packages/configuration/src/configurationWatch.ts
+++ b/packages/configuration/src/configurationWatch.ts
@@ -1,4 +1,7 @@
-/** Follows a source of configurations that every daemon can watch, and puts each new version in force. */
+/**
+ * Follows a source of configurations, and puts each new version in force. All daemons could; a few in each failure domain do, and the
+ * others hear from them, so that the source is asked by a number of daemons that doesn't grow with the fleet.
+ */
 import { type Clock } from '@cleatquay/clock';
 import { asFailure } from '@cleatquay/errors';
 import { type Configuration } from './configuration.js';
@@ -9,6 +12,14 @@
 /** Longest pause, ms: well below the 2 s within which a change has to be in force after the source is back. */
 const LONGEST_PAUSE_MS = 800;
 
+/** How often a daemon that leaves the source to others looks whether it should follow it itself, ms. */
+const DUTY_CHECK_MS = 500;
+/**
+ * A daemon that leaves the source to others looks itself after so long, ms: what it would miss if all who follow the source for it had
+ * failed in a way that it can't see.
+ */
+const OWN_LOOK_MS = 30_000;
+
 /** A version as a source gives it. */
 export interface SourcedVersion {
   readonly generation: number;
@@ -29,6 +40,8 @@
   readonly clock: Clock;
   readonly configuration: Configuration<unknown>;
   readonly source: ConfigurationSource;
+  /** Whether this daemon has to follow the source itself just now. */
+  readonly isOnDuty: () => boolean;
   readonly log: (message: string, facts: object) => void;
 }
 
@@ -37,6 +50,7 @@
   private readonly stopped = new AbortController();
   private watching: Promise<void> = Promise.resolve();
   private isLost = false;
+  private lookedAt = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly options: ConfigurationWatchOptions) {}
 
@@ -54,6 +68,11 @@
     const { signal } = this.stopped;
     let pause = FIRST_PAUSE_MS;
     while (!signal.aborted) {
+      if (!this.mayLook()) {
+        await this.options.clock.sleep(DUTY_CHECK_MS, signal);
+        continue;
+      }
+      this.lookedAt = this.options.clock.now();
       if (await this.takeNext(signal)) {
         pause = FIRST_PAUSE_MS;
         continue;
@@ -63,6 +82,12 @@
     }
   }
 
+  /** A daemon without any configuration looks, whoever else does. */
+  private mayLook(): boolean {
+    const { clock, configuration, isOnDuty } = this.options;
+    return configuration.generation === 0 || isOnDuty() || clock.now() - this.lookedAt > OWN_LOOK_MS;
+  }
+
   private async takeNext(signal: AbortSignal): Promise<boolean> {
     const { configuration, source, log } = this.options;
     try {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -30,7 +30,7 @@
 import { operatorGateway } from './operatorGateway.js';
 import { addressOf, serverOf } from './httpListeners.js';
 import { quietBroker } from './quietBroker.js';
-import { isReader } from './readers.js';
+import { readersOf } from './readers.js';
 import { checkListening, checkSameVm } from './upstreamAddress.js';
 import { type UpstreamBounds, type Upstreams } from './upstreams.js';
 
@@ -202,8 +202,9 @@
       random,
       configuration: this.configuration,
       store: this.store && new ConfigurationStore(this.store, clock),
-      isReader: () => isReader(core.self, settings.failureDomain, core.membership.table.all()),
-      patienceMs: 0,
+      isReader: () => readersOf(settings.failureDomain, core.membership.table.all()).includes(core.self),
+      holderOf: peer => peer,
+      patienceMs: () => 0,
       fetch: (peer, generation) => core.peers.fetchConfiguration(peer, generation),
       otherPeer: () => core.membership.randomAlive(1)[0]?.address,
       log: message => configurationLog.info(`Configuration: ${message}`),
--- a/packages/daemon/src/readers.ts
+++ b/packages/daemon/src/readers.ts
@@ -4,12 +4,12 @@
 
 const READERS = 2;
 
-/** Whether `self` is among the first of its failure domain. Two views that differ only cost some reads. */
-export function isReader(self: string, failureDomain: string, members: Iterable<Member>): boolean {
-  const own = crc32(self);
-  let before = 0;
+/** The readers of a failure domain, as this view of the fleet has it. Two views that differ only cost some reads. */
+export function readersOf(failureDomain: string, members: Iterable<Member>): string[] {
+  const ranked: { readonly address: string; readonly rank: number }[] = [];
   for (const { address, failureDomain: domain, state } of members) {
-    if (state === 'ALIVE' && domain === failureDomain && crc32(address) < own) before++;
+    if (state === 'ALIVE' && domain === failureDomain) ranked.push({ address, rank: crc32(address) });
   }
-  return before < READERS;
+  ranked.sort((a, b) => a.rank - b.rank);
+  return ranked.slice(0, READERS).map(({ address }) => address);
 }
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -11,5 +11,6 @@
   Meeting,
   type MeetingOptions,
   type MeetingRow,
+  type Created,
   type MeetingTable,
 } from './meeting.js';
--- a/packages/membership/src/meeting.ts
+++ b/packages/membership/src/meeting.ts
@@ -6,12 +6,17 @@
 import { asFailure } from '@cleatquay/errors';
 import { type Membership } from './membership.js';
 
-/** Pause after a failed round, ms: two rounds fit into the 2 s in which the living have to be back after an outage. */
+/**
+ * Pause after a failed round of a daemon that has something to write, or knows nobody, ms: two rounds fit into the 2 s in which the living
+ * have to be back after an outage.
+ */
 const RETRY_MS = 700;
 /** Pause while nobody else is known, ms. */
 const ALONE_MS = 1000;
-/** Pause between rounds that find nothing new, ms. Gossip brings newcomers much sooner; a round costs a read. */
-const ROUND_MS = 15_000;
+/** Pause between rounds of a daemon that tends the table, ms. Gossip brings newcomers much sooner; a round costs a read. */
+const TENDING_MS = 15_000;
+/** Pause between rounds of the others, ms: all that they look after is their own row, which nobody else should remove. */
+const OWN_ROW_MS = 60_000;
 /** A row of a member that gossip has taken for gone is removed when it has not changed for so long, ms. */
 const REMOVE_AFTER_MS = 60_000;
 /** How long a departure may wait for the table, ms; its upstream waits a second for the answer. */
@@ -45,17 +50,25 @@
 
 /** The shared table. Every call may fail, also after it took effect. */
 export interface MeetingTable {
+  /** Puts a row where there is none yet; otherwise gives the address of the row that is there, and what is in it if that can be read. */
+  readonly create: (row: MeetingRow, signal: AbortSignal) => Promise<Created>;
   readonly list: (signal: AbortSignal) => Promise<readonly MeetingRow[]>;
   readonly put: (row: MeetingRow, signal: AbortSignal) => Promise<void>;
   readonly remove: (address: string, signal: AbortSignal) => Promise<void>;
 }
 
+/** Whether a row was put, and if not, the one that is there; undefined where that can't be read. */
+export type Created =
+  { readonly isNew: true } | { readonly isNew: false; readonly former: MeetingRow | undefined };
+
 /** What a meeting needs of its daemon. */
 export interface MeetingOptions {
   readonly clock: Clock;
   readonly random: Random;
   readonly table: MeetingTable;
   readonly membership: Membership;
+  /** Whether this daemon looks after the table for its failure domain. */
+  readonly isTender: () => boolean;
   /** What is to be kept in this daemon's row. */
   readonly kept: () => KeptState;
   /** Told once what an earlier process of this daemon had recorded. */
@@ -68,8 +81,13 @@
   private readonly stopped = new AbortController();
   private readonly goneSince = new Map<string, number>();
   private running: Promise<void> = Promise.resolve();
+  /** Whether the own row is there, as far as is known. */
   private hasRow = false;
-  private hasRead = false;
+  private hasCreated = false;
+  /** Changes of what the row should say, and how many of them are known to be in it. */
+  private changes = 0;
+  private written = 0;
+  private resting = new AbortController();
   private isLost = false;
   private first: () => void = () => undefined;
   /** Resolves after the first round that worked. */
@@ -83,18 +101,19 @@
   }
 
   /**
-   * Records what has changed about this daemon, if the table answers soon. Before the first read nothing is written,
-   * since the row still has what an earlier process recorded; the round that reads it writes both.
+   * Records what has changed about this daemon, if the table answers soon. Before the first round nothing is written,
+   * since the row still has what an earlier process recorded; the round that finds it writes both.
    */
   async record(): Promise<void> {
     const { clock, log } = this.options;
-    if (!this.hasRead) return;
+    this.changes++;
+    if (!this.hasCreated) return;
     const limit = new AbortController();
     const timer = clock.after(RECORD_TIMEOUT_MS, () => limit.abort(new Error('The table took too long.')));
     try {
-      await this.options.table.put(this.row(), limit.signal);
+      await this.write(limit.signal);
     } catch (error) {
-      this.hasRow = false;
+      this.resting.abort();
       log('The own row could not be written; it is tried again.', { reason: asFailure(error).describe() });
     } finally {
       timer[Symbol.dispose]();
@@ -103,47 +122,73 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     this.stopped.abort();
+    this.resting.abort();
     await this.running;
   }
 
   private async keep(): Promise<void> {
-    const { clock, random, membership } = this.options;
+    const { clock, random } = this.options;
     const { signal } = this.stopped;
     while (!signal.aborted) {
-      const worked = await this.round(signal);
-      const calm = membership.aliveCount() > 0 ? ROUND_MS : ALONE_MS;
-      await clock.sleep((worked ? calm : RETRY_MS) * (0.75 + random() / 2), signal);
+      await this.round(signal);
+      this.resting = new AbortController();
+      await clock.sleep(this.pauseMs() * (0.75 + random() / 2), this.resting.signal);
     }
   }
 
-  /** Before its first row, a daemon reads: what an earlier process of it recorded must not be lost. */
-  private async round(signal: AbortSignal): Promise<boolean> {
+  /** An outage of the table is nothing to ask about for those who have their row and know others. */
+  private pauseMs(): number {
+    const { membership, isTender } = this.options;
+    if (this.mustWrite) return RETRY_MS;
+    if (membership.aliveCount() === 0) return ALONE_MS;
+    return isTender() ? TENDING_MS : OWN_ROW_MS;
+  }
+
+  /** The row comes first, so that of two daemons that start at once one sees the other. */
+  private async round(signal: AbortSignal): Promise<void> {
     const { table, log } = this.options;
     try {
-      if (!this.hasRead) this.take(await table.list(signal));
-      if (!this.hasRow) await table.put(this.row(), signal);
-      this.hasRow = true;
+      if (!this.hasCreated) await this.create(signal);
+      if (this.mustWrite) await this.write(signal);
       const rows = await table.list(signal);
       this.hasRow = rows.some(({ address }) => address === this.self);
-      this.take(rows);
+      this.options.membership.meet(this.othersIn(rows));
       await this.removeGone(rows, signal);
       if (this.isLost) log('The table is back.', { rows: rows.length });
       this.isLost = false;
       this.first();
-      return this.hasRow;
     } catch (error) {
       if (!this.isLost && !signal.aborted) log('The table is lost.', { reason: asFailure(error).describe() });
       this.isLost = true;
-      return false;
     }
   }
 
-  private take(rows: readonly MeetingRow[]): void {
-    const { membership, onFormer } = this.options;
-    const own = rows.find(row => row.address === this.self);
-    if (!this.hasRead && own) onFormer(own);
-    this.hasRead = true;
-    membership.meet(rows.map(row => row.gossipAddress).filter(a => a !== membership.me.gossipAddress));
+  /** Writes the first row only where there is none: what an earlier process of this daemon recorded must not be lost. */
+  private async create(signal: AbortSignal): Promise<void> {
+    const { table, onFormer, membership } = this.options;
+    const { changes } = this;
+    const created = await table.create(this.row(), signal);
+    if (created.isNew) this.written = changes;
+    const former = created.isNew ? undefined : created.former;
+    if (former) onFormer(former);
+    this.hasCreated = true;
+    this.hasRow = created.isNew || former?.gossipAddress === membership.me.gossipAddress;
+  }
+
+  private get mustWrite(): boolean {
+    return !this.hasRow || this.written < this.changes;
+  }
+
+  private async write(signal: AbortSignal): Promise<void> {
+    const { changes } = this;
+    await this.options.table.put(this.row(), signal);
+    this.written = Math.max(this.written, changes);
+    this.hasRow = true;
+  }
+
+  private othersIn(rows: readonly MeetingRow[]): string[] {
+    const own = this.options.membership.me.gossipAddress;
+    return rows.map(row => row.gossipAddress).filter(address => address !== own);
   }
 
   /** The first living daemon in order of addresses tidies up; two that think so do no harm. */
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -52,6 +52,7 @@
   readonly traffic = { sentBytes: 0, receivedBytes: 0, sentDatagrams: 0, invalid: 0 };
   private self: Member;
   private generation = 0;
+  private heardAt = Number.NEGATIVE_INFINITY;
   private sequence = 0;
   private readonly acks = new Map<number, (answered: boolean) => void>();
   private readonly suspicions = new Map<string, Timer>();
@@ -99,6 +100,11 @@
     return [...this.table.all()].filter(m => isUp(m) && m.address !== this.self.address).length;
   }
 
+  /** Clock time at which another member was last heard, ms; long ago before the first. */
+  get lastHeardAt(): number {
+    return this.heardAt;
+  }
+
   /** Tells the fleet of this daemon's upstreams. */
   setUpstreams(upstreams: readonly Upstream[]): void {
     this.assertSelf({ upstreams: [...upstreams] });
@@ -277,6 +283,7 @@
       return;
     }
     if (this.options.isCut?.(gossip.from)) return;
+    this.heardAt = this.options.clock.now();
     for (const member of gossip.members) {
       if (isUsableMember(member)) this.accept(member, gossip.bulk);
       else this.traffic.invalid++;
--- /dev/null
+++ b/tests/configurationWatch.spec.ts
@@ -0,0 +1,71 @@
+import { ManualClock } from '@cleatquay/clock';
+import { Configuration, ConfigurationWatch, type SourcedVersion } from '@cleatquay/configuration';
+import { expect } from 'chai';
+
+const VERSION: SourcedVersion = { generation: 1, sections: new Map([['general', '{}']]) };
+
+describe('following the source of configurations', () => {
+  let clock: ManualClock;
+  let isOnDuty: boolean;
+  let asked: number;
+  let answer: () => Promise<SourcedVersion | undefined>;
+  let watch: ConfigurationWatch;
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    isOnDuty = false;
+    asked = 0;
+    answer = () => Promise.resolve(VERSION);
+    watch = new ConfigurationWatch({
+      clock,
+      configuration: new Configuration(
+        clock,
+        sections => sections,
+        () => undefined,
+      ),
+      source: {
+        next: async () => {
+          asked++;
+          // As a source that has nothing new for a while.
+          await clock.sleep(1000);
+          return answer();
+        },
+      },
+      isOnDuty: () => isOnDuty,
+      log: () => undefined,
+    });
+    watch.start();
+  });
+
+  const pass = async (ms: number) => {
+    for (let left = ms; left > 0; left -= 100) {
+      clock.advance(100);
+      await new Promise(resolve => setImmediate(resolve));
+    }
+  };
+
+  it('is begun by every daemon, until it has a version', async () => {
+    answer = () => Promise.reject(new Error('away'));
+    await pass(10_000);
+    expect(asked).to.be.at.least(4);
+    answer = () => Promise.resolve(VERSION);
+    await pass(5000);
+    const before = asked;
+    await pass(10_000);
+    expect(asked).to.equal(before);
+  });
+
+  it('is left to others by those that are not on duty, but for a look each 30 s', async () => {
+    await pass(5000);
+    expect(asked).to.equal(1);
+    await pass(60_000);
+    expect(asked).to.be.within(2, 3);
+  });
+
+  it('begins within half a second of being on duty', async () => {
+    await pass(5000);
+    isOnDuty = true;
+    await pass(600);
+    expect(asked).to.equal(2);
+  });
+});
--- a/tests/linkServer.spec.ts
+++ b/tests/linkServer.spec.ts
@@ -16,6 +16,8 @@
   },
 };
 
+const NO_CONFIGURATION = () => ({ generation: 0, base: 0, sections: [], applyId: '' });
+
 /** A connection of which the test says what comes. */
 function fakeSocket() {
   const nothing = () => undefined;
@@ -44,9 +46,9 @@
       handled++;
       return Promise.resolve(answerOf(endOf(refusalOf('overloaded', ''), 0)));
     };
-    expect(new LinkServer(socket as never, handle, new WorkTurns(clock, () => isLagging))).to.be.instanceOf(
-      LinkServer,
-    );
+    expect(
+      new LinkServer(socket as never, handle, new WorkTurns(clock, () => isLagging), NO_CONFIGURATION),
+    ).to.be.instanceOf(LinkServer);
     socket.emit('data', bytesOf(REQUEST));
     await new Promise(resolve => setImmediate(resolve));
     socket.emit('data', bytesOf({ ...EMPTY_ITEM, call: 1, cancel: true }));
@@ -66,7 +68,12 @@
       remaining.push(context?.remainingMs);
       return Promise.resolve(answerOf(endOf(refusalOf('overloaded', ''), 0)));
     };
-    const server = new LinkServer(socket as never, handle, new WorkTurns(manual, () => true));
+    const server = new LinkServer(
+      socket as never,
+      handle,
+      new WorkTurns(manual, () => true),
+      NO_CONFIGURATION,
+    );
     server.receive(bytesOf(REQUEST));
     manual.advance(70);
     for (let turn = 0; turn < 4; turn++) await new Promise(resolve => setImmediate(resolve));
--- a/tests/meeting.spec.ts
+++ b/tests/meeting.spec.ts
@@ -27,11 +27,16 @@
       clock: new ManualClock(),
       random: () => 0.5,
       membership,
+      isTender: () => false,
       table: {
-        list: async () => {
+        create: async row => {
           await mayRead;
-          return rows;
+          const former = rows.find(({ address }) => address === row.address);
+          if (former) return { isNew: false, former };
+          rows = [row];
+          return { isNew: true };
         },
+        list: () => Promise.resolve(rows),
         put: row => Promise.resolve(void (rows = [row])),
         remove: () => Promise.resolve(),
       },
