Tell starts of an upstream under one id apart, and use nothing that another writer says

A start under the id of an earlier one was ignored (its sequence begins anew) until it counted as silent; a departure of the earlier start would have kept the new one out, and a late word of the earlier start spoke for the new one. A foreign announcement for an unknown service took an upstream's address; an id that can't be decoded was an internal error; a datagram or a row with a sender that is no address ended the daemon or its rounds. Change: born, with the id, names a start (Starts: the latest that left, was replaced, was heard of), also in the daemon's row; services that the configuration doesn't have, and addresses that are none, are refused where they are decoded.

--- a/packages/configuration/src/configurationWatch.ts
+++ b/packages/configuration/src/configurationWatch.ts
@@ -18,7 +18,7 @@
  * A daemon that leaves the source to others looks itself after so long, ms: what it would miss if all who follow the source for it had
  * failed in a way that it can't see.
  */
-const OWN_LOOK_MS = 30_000;
+const OWN_LOOK_MS = 60_000;
 
 /** A version as a source gives it. */
 export interface SourcedVersion {
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -17,6 +17,7 @@
   ConfigurationWatch,
   type Sections,
 } from '@cleatquay/configuration';
+import { Failure } from '@cleatquay/errors';
 import { type KeptState, Meeting, type MeetingTable, type Membership } from '@cleatquay/membership';
 import { type Refusal, type RequestHead, endOf, refusalOf } from '@cleatquay/protocol';
 import { HostRoutes, type RoutePlan } from '@cleatquay/routes';
@@ -181,17 +182,30 @@
 
   /** An upstream announces itself; one that is new is recorded, so that a restart of this daemon knows it at once. */
   async announce(announcement: Announcement): Promise<void> {
+    const { service, instanceId, born } = announcement;
+    if (!this.isService(service))
+      throw new Failure(`No service is called "${service}".`, {
+        result: 'announcementInvalid',
+        field: 'service',
+      });
     const isKnown = () =>
-      this.upstreams.known.some(({ instanceId }) => instanceId === announcement.instanceId);
+      this.upstreams.known.some(known => known.instanceId === instanceId && known.born === born);
     const wasKnown = isKnown();
     await this.upstreams.announce(announcement);
     if (!wasKnown && isKnown()) void this.meeting.record();
   }
 
+  /** A service of the configuration in force; any while there is none. */
+  private isService(name: string): boolean {
+    const routes = this.configuration.inForce;
+    return (
+      routes?.service(name) !== undefined || routes === undefined || name === this.parts.settings.service
+    );
+  }
+
   /** An upstream says that it leaves: recorded, so that a restart of this daemon doesn't forget it. */
-  async leave(instanceId: string): Promise<void> {
-    const isNew = !this.upstreams.departures.includes(instanceId);
-    this.upstreams.leave(instanceId);
+  async leave(instanceId: string, born?: number): Promise<void> {
+    const isNew = this.upstreams.leave(instanceId, born);
     if (isNew) await this.meeting.record();
   }
 
@@ -307,7 +321,7 @@
   /** Takes over what an earlier process recorded. */
   private takeFormer({ departures, upstreams }: KeptState): void {
     const { settings, clock, log, installation } = this.parts;
-    for (const instanceId of departures) this.upstreams.leave(instanceId);
+    for (const { instanceId, born } of departures) this.upstreams.leave(instanceId, born);
     void takeOver(upstreams, {
       clock,
       heartbeatMs: settings.heartbeatMs,
@@ -326,7 +340,7 @@
       clock,
       configuration: this.configuration,
       source: installation.source,
-      isOnDuty: () => this.isReader() || this.isAlone(),
+      isOnDuty: () => this.isAlone() || (this.membership.aliveCount() > 0 && this.isReader()),
       log: (message, facts) => configurationLog.info(facts, `Configuration: ${message}`),
     });
   }
--- a/packages/daemon/src/upstreams.ts
+++ b/packages/daemon/src/upstreams.ts
@@ -2,10 +2,11 @@
 import { Admission, RouteCosts } from '@cleatquay/admission';
 import { type LocalUpstream, UpstreamConnections } from '@cleatquay/calls';
 import { type Clock, type Random, type Timer } from '@cleatquay/clock';
-import { type KnownUpstream } from '@cleatquay/membership';
+import { type Departure, type KnownUpstream } from '@cleatquay/membership';
 import { type Upstream } from '@cleatquay/protocol';
 import { check } from '@cleatquay/settings';
 import { type Static, Type } from '@sinclair/typebox';
+import { Starts } from './starts.js';
 
 /** Heartbeats that may be missing before an upstream is taken for gone. */
 const MISSED_HEARTBEATS = 3;
@@ -14,8 +15,6 @@
  * that was held up on its way may arrive after its sender has ended and the next instance has announced itself.
  */
 const SILENT_HEARTBEATS = 2;
-/** Instances that ended and are remembered, so that a late heartbeat of one can't bring it back. */
-const REMEMBERED_INSTANCES = 100;
 
 const AnnouncementSchema = Type.Object(
   {
@@ -24,7 +23,12 @@
     slots: Type.Integer({ minimum: 1, maximum: 100_000 }),
     connections: Type.Integer({ minimum: 1, maximum: 100_000 }),
     state: Type.Union([Type.Literal('ready'), Type.Literal('draining')], { default: 'ready' }),
-    instanceId: Type.String({ default: '', description: 'names this start of the upstream' }),
+    instanceId: Type.String({ default: '', description: 'names the upstream' }),
+    born: Type.Integer({
+      minimum: 0,
+      default: 0,
+      description: 'when it was started, Unix ms; another start may have the same id; 0 if it does not tell',
+    }),
     sequence: Type.Integer({ minimum: 0, default: 0, description: 'rises with each announcement' }),
     warmupLeftMs: Type.Number({ minimum: 0, default: 0, description: 'how much longer it is slow' }),
   },
@@ -79,8 +83,10 @@
 /** Upstreams by service; one that has missed its heartbeats goes. */
 export class Upstreams implements AsyncDisposable {
   private readonly byService = new Map<string, Announced>();
-  private readonly departed = new Set<string>();
-  private readonly replaced = new Set<string>();
+  /** The latest start of each instance that left, that was replaced, and that was heard of at all. */
+  private readonly departed = new Starts();
+  private readonly replaced = new Starts();
+  private readonly heard = new Starts();
 
   constructor(private readonly options: UpstreamsOptions) {}
 
@@ -89,11 +95,13 @@
     const announcement = check(AnnouncementSchema, data, 'announcementInvalid');
     const known = this.byService.get(announcement.service);
     if (known && isSame(known.announcement, announcement)) return this.renew(known, announcement);
-    if (this.departed.has(announcement.instanceId)) return;
+    if (this.heard.hasLater(announcement)) return;
+    if (this.departed.has(announcement)) return;
     if (this.isHeldUp(announcement)) return;
     await this.options.checkAddress(announcement.address);
     for (const other of this.inPlaceOf(announcement)) this.replace(other);
-    if (announcement.state === 'draining') this.depart(announcement.instanceId);
+    if (announcement.state === 'draining') this.departed.add(announcement);
+    this.heard.add(announcement);
     this.add(announcement);
   }
 
@@ -105,24 +113,30 @@
   }
 
   private replace(upstream: Announced): void {
-    remember(this.replaced, upstream.announcement.instanceId);
+    this.replaced.add(upstream.announcement);
     this.remove(upstream, 'Another took its place');
   }
 
   /** Whether this is a late word of an instance whose successor is being heard. */
   private isHeldUp(announcement: Announcement): boolean {
-    if (!this.replaced.has(announcement.instanceId)) return false;
+    if (!this.replaced.has(announcement)) return false;
     const { clock, heartbeatMs } = this.options;
     const oldest = clock.now() - SILENT_HEARTBEATS * heartbeatMs;
     return this.inPlaceOf(announcement).some(({ heardAt }) => heardAt > oldest);
   }
 
-  /** An instance says that it leaves: it gets no new work from now on, whatever arrives late. */
-  leave(instanceId: string): void {
-    this.depart(instanceId);
+  /**
+   * An instance says that it leaves: that start of it gets no new work from now on, whatever arrives late. If it doesn't tell its
+   * start, the latest that was heard of leaves. Says whether that was news.
+   */
+  leave(instanceId: string, born = this.heard.latest(instanceId)): boolean {
+    const isNew = !this.departed.has({ instanceId, born });
+    this.departed.add({ instanceId, born });
     for (const upstream of this.byService.values()) {
-      if (upstream.announcement.instanceId === instanceId) this.setState(upstream, true);
+      const { announcement } = upstream;
+      if (announcement.instanceId === instanceId && announcement.born <= born) this.setState(upstream, true);
     }
+    return isNew;
   }
 
   /** Upstreams that named their instance, as they announced themselves. */
@@ -130,18 +144,19 @@
     return [...this.byService.values()]
       .map(({ announcement }) => announcement)
       .filter(({ instanceId }) => instanceId !== '')
-      .map(({ service, address, slots, connections, instanceId }) => ({
+      .map(({ service, address, slots, connections, instanceId, born }) => ({
         service,
         address,
         slots,
         connections,
         instanceId,
+        born,
       }));
   }
 
-  /** Instances that said that they leave. */
-  get departures(): string[] {
-    return [...this.departed];
+  /** Starts that said that they leave. */
+  get departures(): Departure[] {
+    return this.departed.all;
   }
 
   /** The upstream of a service. */
@@ -242,7 +257,7 @@
     known.heardAt = this.options.clock.now();
     known.announcement = announcement;
     known.admission.limit.announce(this.slotsOf(announcement));
-    if (announcement.state === 'draining') this.depart(announcement.instanceId);
+    if (announcement.state === 'draining') this.departed.add(announcement);
     this.setState(known, this.isLeaving(announcement));
   }
 
@@ -256,13 +271,8 @@
     this.changed();
   }
 
-  private isLeaving({ state, instanceId }: Announcement): boolean {
-    return state === 'draining' || this.departed.has(instanceId);
-  }
-
-  private depart(instanceId: string): void {
-    if (instanceId === '') return;
-    remember(this.departed, instanceId);
+  private isLeaving(announcement: Announcement): boolean {
+    return announcement.state === 'draining' || this.departed.has(announcement);
   }
 
   /** What it announces, bounded by the configuration in force and by its connections. */
@@ -299,13 +309,6 @@
 /** Stands for no limit on the plain path. */
 const UNLIMITED_SLOTS = 1_000_000;
 
-/** Keeps an instance in mind; the oldest makes room. */
-function remember(instances: Set<string>, instanceId: string): void {
-  instances.add(instanceId);
-  const [oldest] = instances;
-  if (instances.size > REMEMBERED_INSTANCES && oldest !== undefined) instances.delete(oldest);
-}
-
 function isSame(a: Announcement, b: Announcement): boolean {
-  return a.address === b.address && a.instanceId === b.instanceId;
+  return a.address === b.address && a.instanceId === b.instanceId && a.born === b.born;
 }
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -12,5 +12,6 @@
   type MeetingOptions,
   type MeetingRow,
   type Created,
+  type Departure,
   type MeetingTable,
 } from './meeting.js';
--- a/packages/membership/src/meeting.ts
+++ b/packages/membership/src/meeting.ts
@@ -29,10 +29,15 @@
   readonly address: string;
   readonly slots: number;
   readonly connections: number;
-  /** Names this start of the upstream. */
+  /** Names the upstream; another start may have the same id. */
   readonly instanceId: string;
+  /** When it was started, Unix ms; 0 if it doesn't tell. */
+  readonly born: number;
 }
 
+/** A start of an upstream that said that it leaves. */
+export type Departure = Pick<KnownUpstream, 'instanceId' | 'born'>;
+
 /** What a daemon keeps about itself. */
 export interface MeetingRow {
   /** ip:port of the inner protocol, the key of the row. */
@@ -40,7 +45,7 @@
   /** ip:port of membership datagrams. */
   readonly gossipAddress: string;
   /** Instances of upstreams that announced to this daemon that they leave. */
-  readonly departures: readonly string[];
+  readonly departures: readonly Departure[];
   /** The upstreams beside the daemon, so that a restarted one need not wait for their next heartbeat. */
   readonly upstreams: readonly KnownUpstream[];
 }
@@ -151,7 +156,8 @@
       if (!this.hasCreated) await this.create(signal);
       if (this.mustWrite) await this.write(signal);
       const rows = await table.list(signal);
-      this.hasRow = rows.some(({ address }) => address === this.self);
+      const { gossipAddress } = this.options.membership.me;
+      this.hasRow = rows.some(row => row.address === this.self && row.gossipAddress === gossipAddress);
       this.options.membership.meet(this.othersIn(rows));
       await this.removeGone(rows, signal);
       if (this.isLost) log('The table is back.', { rows: rows.length });
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -7,6 +7,7 @@
   type Ping,
   type Sync,
   type Upstream,
+  isAddress,
   isUsableMember,
 } from '@cleatquay/protocol';
 import { Broadcasts } from './broadcasts.js';
@@ -52,7 +53,7 @@
   readonly traffic = { sentBytes: 0, receivedBytes: 0, sentDatagrams: 0, invalid: 0 };
   private self: Member;
   private generation = 0;
-  private heardAt = Number.NEGATIVE_INFINITY;
+  private heardAt: number;
   private sequence = 0;
   private readonly acks = new Map<number, (answered: boolean) => void>();
   private readonly suspicions = new Map<string, Timer>();
@@ -68,6 +69,7 @@
   constructor(private readonly options: MembershipOptions) {
     this.self = { ...options.self, incarnation: 1, state: 'ALIVE', upstreams: [] };
     this.table.put(this.self);
+    this.heardAt = options.clock.now();
     options.datagrams.receive(bytes => this.receive(bytes));
   }
 
@@ -100,7 +102,7 @@
     return [...this.table.all()].filter(m => isUp(m) && m.address !== this.self.address).length;
   }
 
-  /** Clock time at which another member was last heard, ms; long ago before the first. */
+  /** Clock time at which another member was last heard, ms; before the first, the start. */
   get lastHeardAt(): number {
     return this.heardAt;
   }
@@ -282,6 +284,10 @@
       this.traffic.invalid++;
       return;
     }
+    if (!isAddress(gossip.from)) {
+      this.traffic.invalid++;
+      return;
+    }
     if (this.options.isCut?.(gossip.from)) return;
     this.heardAt = this.options.clock.now();
     for (const member of gossip.members) {
@@ -300,6 +306,7 @@
 
   private handlePing(ping: Ping, from: string): void {
     if (ping.target === '') return this.answerPing(ping, from);
+    if (!isAddress(ping.target)) return;
     void this.ping(ping.target, ACK_TIMEOUT_MS).then(answered => {
       if (answered) this.send(from, { ack: { sequence: ping.sequence } });
     });
--- a/tests/upstreams.spec.ts
+++ b/tests/upstreams.spec.ts
@@ -62,6 +62,41 @@
     });
   });
 
+  describe('a start under the id that an earlier one had', () => {
+    it('is another upstream, whose announcements count anew', async () => {
+      await beat('same', { born: 1000, sequence: 500 });
+      const former = upstreams.get('history');
+      await beat('same', { born: 2000, sequence: 1 });
+      expect(upstreams.get('history')).to.not.equal(former);
+      clock.advance(2 * HEARTBEAT_MS);
+      await beat('same', { born: 2000, sequence: 2 });
+      clock.advance(2 * HEARTBEAT_MS);
+      expect(known()).to.deep.equal(['history same']);
+    });
+
+    it('is not replaced by a late announcement of the earlier one, also after it fell silent', async () => {
+      await beat('same', { born: 1000 });
+      await beat('same', { born: 2000, address: '127.0.0.1:2' });
+      await beat('same', { born: 1000, sequence: 900 });
+      expect(upstreams.known.map(({ address }) => address)).to.deep.equal(['127.0.0.1:2']);
+      clock.advance(4 * HEARTBEAT_MS);
+      await beat('same', { born: 1000, sequence: 901 });
+      expect(known()).to.deep.equal([]);
+    });
+
+    it('is let in though the earlier one left, and not sent away by a late word of its leaving', async () => {
+      await beat('same', { born: 1000 });
+      upstreams.leave('same', 1000);
+      expect(upstreams.get('history')?.isDraining).to.equal(true);
+      await beat('same', { born: 2000 });
+      expect(upstreams.get('history')?.isDraining).to.equal(false);
+      upstreams.leave('same', 1000);
+      expect(upstreams.get('history')?.isDraining).to.equal(false);
+      upstreams.leave('same', 2000);
+      expect(upstreams.get('history')?.isDraining).to.equal(true);
+    });
+  });
+
   describe('an address', () => {
     it('belongs to whoever announced it last, of whatever service', async () => {
       await beat('first');
