Keep what follows from being a reader in one place

Cause: who reads the platform, whom the others ask and how long they wait stood in relayDaemon.ts, which wires.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -6,3 +6,4 @@
 export { PressureLog } from './pressureLog.js';
 export { type RelaySettings } from './relaySettings.js';
 export { Upstreams, type Announcement } from './upstreams.js';
+export { Readers } from './readers.js';
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -32,22 +32,13 @@
 import { quietBroker } from './quietBroker.js';
 import { type CallerDialect, RelayGateway } from './relayGateway.js';
 import { PressureLog } from './pressureLog.js';
-import { readersOf } from './readers.js';
+import { Readers } from './readers.js';
 import { type RelayReportParts, relayDump, relayStatus } from './relayReport.js';
 import { type RelaySettings } from './relaySettings.js';
 import { type Announcement, type UpstreamBounds, type Upstreams } from './upstreams.js';
 
 /** How long tries that may run only once are remembered, ms: longer than any caller waits for one. */
 const MEMORY_MS = 60_000;
-/** How long a daemon that follows the source has for a version that a peer has, before it asks the peer, ms. */
-const OWN_SOURCE_PATIENCE_MS = 400;
-/**
- * How long a daemon waits for a version that a peer in another failure domain has, ms: by then some daemon in its own has it from the
- * source, and what goes between failure domains is dear.
- */
-const FAR_PEER_PATIENCE_MS = 150;
-/** A daemon that has heard nobody for so long follows the source itself, ms: others ask and answer it about twice a second. */
-const ALONE_AFTER_MS = 1500;
 /**
  * Time after which the platform has seen twice that this daemon is not ready, ms: it asks every second. The own upstream
  * serves until then: what it stops sooner it would do without for longer, since the next process starts no earlier.
@@ -104,6 +95,7 @@
   /** Made once the daemon listens for its peers. */
   private core!: Core;
   private relay!: Relay;
+  private readers!: Readers;
   private meeting!: Meeting;
   private watch!: ConfigurationWatch;
   private spread!: ConfigurationSpread;
@@ -155,6 +147,7 @@
     const daemon = new RelayDaemon(parts);
     daemon.core = await daemon.startCore();
     daemon.relay = daemon.makeRelay();
+    daemon.readers = new Readers(parts.clock, daemon.membership, parts.settings.failureDomain);
     daemon.meeting = daemon.makeMeeting();
     daemon.watch = daemon.makeWatch();
     daemon.spread = daemon.makeSpread();
@@ -311,7 +304,7 @@
       random,
       table: installation.meeting,
       membership: this.membership,
-      isTender: () => this.isReader(),
+      isTender: () => this.readers.isReader,
       kept: () => ({ departures: this.upstreams.departures, upstreams: this.upstreams.known }),
       onFormer: former => this.takeFormer(former),
       log: (message, facts) => meetingLog.info(facts, `Meeting: ${message}`),
@@ -340,7 +333,7 @@
       clock,
       configuration: this.configuration,
       source: installation.source,
-      isOnDuty: () => this.isAlone() || (this.membership.aliveCount() > 0 && this.isReader()),
+      isOnDuty: () => this.readers.isOnDuty,
       log: (message, facts) => configurationLog.info(facts, `Configuration: ${message}`),
     });
   }
@@ -354,42 +347,14 @@
       configuration: this.configuration,
       store: undefined,
       isReader: () => false,
-      patienceMs: peer => this.patienceMs(peer),
+      patienceMs: peer => this.readers.patienceMs(peer),
       fetch: (peer, generation) => this.core.peers.fetchConfiguration(peer, generation),
-      holderOf: peer => this.holderOf(peer),
+      holderOf: peer => this.readers.holderOf(peer),
       otherPeer: () => this.membership.randomAlive(1)[0]?.address,
       log: message => configurationLog.info(`Configuration: ${message}`),
     });
   }
 
-  /** Whether this daemon follows the store for its failure domain. */
-  private isReader(): boolean {
-    return this.nearReaders().includes(this.membership.me.address);
-  }
-
-  private isAlone(): boolean {
-    return this.parts.clock.now() - this.membership.lastHeardAt > ALONE_AFTER_MS;
-  }
-
-  private patienceMs(peer: string): number {
-    if (this.isReader()) return OWN_SOURCE_PATIENCE_MS;
-    return this.isNear(peer) ? 0 : FAR_PEER_PATIENCE_MS;
-  }
-
-  /** A peer in another failure domain has what some daemon of this one reads. */
-  private holderOf(peer: string): string {
-    if (this.isNear(peer)) return peer;
-    return this.nearReaders().find(address => address !== this.membership.me.address) ?? peer;
-  }
-
-  private nearReaders(): string[] {
-    return readersOf(this.parts.settings.failureDomain, this.membership.table.all());
-  }
-
-  private isNear(peer: string): boolean {
-    return this.membership.table.get(peer)?.failureDomain === this.parts.settings.failureDomain;
-  }
-
   private async serve(): Promise<void> {
     const { settings, clock, installation } = this.parts;
     this.listeners.add('callers', settings.callers, this.gateway.server);
