End the pause of a daemon's rounds also when it ends in the middle of one

Change: the pause ends with the task. Measured: meeting.spec.ts, a new case that timed out before the change and passes after it.

--- a/packages/membership/src/meeting.ts
+++ b/packages/membership/src/meeting.ts
@@ -92,6 +92,7 @@
   /** Changes of what the row should say, and how many of them are known to be in it. */
   private changes = 0;
   private written = 0;
+  /** Ends the pause between two rounds. */
   private resting = new AbortController();
   private isLost = false;
   private first: () => void = () => undefined;
@@ -127,7 +128,6 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     this.stopped.abort();
-    this.resting.abort();
     await this.running;
   }
 
@@ -137,7 +137,8 @@
     while (!signal.aborted) {
       await this.round(signal);
       this.resting = new AbortController();
-      await clock.sleep(this.pauseMs() * (0.75 + random() / 2), this.resting.signal);
+      const untilWoken = AbortSignal.any([signal, this.resting.signal]);
+      await clock.sleep(this.pauseMs() * (0.75 + random() / 2), untilWoken);
     }
   }
 
--- a/tests/meeting.spec.ts
+++ b/tests/meeting.spec.ts
@@ -57,4 +57,11 @@
     await meeting.met;
     expect(rows[0]?.departures).to.deep.equal([LEFT]);
   });
+
+  it('is looked after no more once that is over, also in the middle of a round', async () => {
+    meeting.start();
+    const ended = meeting[Symbol.asyncDispose]();
+    letRead();
+    await ended;
+  });
 });
