--- a/utils/writeCodeCache.cjs
+++ b/utils/writeCodeCache.cjs
@@ -5,6 +5,7 @@
 const { writeFileSync } = require('node:fs');
 const { request, Agent } = require('node:http');
 const { join } = require('node:path');
+const { performance } = require('node:perf_hooks');
 
 const target = join(__dirname, '..', 'target');
 const { load, CODE_CACHE } = require(join(target, 'cleatquay.cjs'));
