Tell where each configuration came from, by its digest, and note requests that no route takes

Cause: logs could not tell a daemon that is late from one whose content isn't that of its version: a version from a peer named neither what it was put on top of nor what it changed, and a 404 left no line.

--- a/packages/calls/src/link.ts
+++ b/packages/calls/src/link.ts
@@ -3,6 +3,7 @@
 import {
   type AnswerPart,
   type ConfigurationAnswer,
+  type ConfigurationRequest,
   type LinkFrame,
   type LinkItem,
   type RequestHead,
@@ -138,14 +139,14 @@
     });
   }
 
-  /** What the peer's configuration has over a generation. Fails with LostContact when the link ends first. */
-  fetchConfiguration(generation: number): Promise<ConfigurationAnswer> {
+  /** What this daemon's configuration lacks of the peer's. Fails with LostContact when the link ends first. */
+  fetchConfiguration(configurationRequest: ConfigurationRequest): Promise<ConfigurationAnswer> {
     if (this.failure) return Promise.reject(new LostContact(this.failure.message, true));
     const number = ++this.lastNumber;
     if (!this.isInUse) this.startListening();
     return new Promise((resolve, reject) => {
       this.asked.set(number, { resolve, reject });
-      this.writer.send({ call: number, configurationRequest: { generation } });
+      this.writer.send({ call: number, configurationRequest });
     });
   }
 
--- a/packages/calls/src/linkServer.ts
+++ b/packages/calls/src/linkServer.ts
@@ -32,7 +32,7 @@
   readonly clock: Clock;
   readonly handle: CallHandler;
   readonly turns: WorkTurns;
-  /** Answers what this daemon's configuration has over a generation. */
+  /** Answers what the peer's configuration lacks of this daemon's. */
   readonly configuration: (request: ConfigurationRequest) => ConfigurationAnswer;
 }
 
--- a/packages/calls/src/peers.ts
+++ b/packages/calls/src/peers.ts
@@ -2,6 +2,7 @@
 import { type CancelSignal, Cancellation, type Clock, NOT_NEEDED, type Timer } from '@cleatquay/clock';
 import {
   type ConfigurationAnswer,
+  type ConfigurationRequest,
   InnerClient,
   type RequestHead,
   type SealAnswer,
@@ -96,8 +97,8 @@
     });
   }
 
-  /** Asks a peer for its configuration over a generation. */
-  async fetchConfiguration(address: string, generation: number): Promise<ConfigurationAnswer> {
+  /** Asks a peer for what this daemon's configuration lacks. */
+  async fetchConfiguration(address: string, question: ConfigurationRequest): Promise<ConfigurationAnswer> {
     if (this.isCut(address)) throw new LostContact(`${address} is cut off.`, true);
     const link = this.links.get(address) ?? (await this.connectOrWatch(address));
     this.lookAfterLinks();
@@ -107,7 +108,7 @@
     });
     inTime.catch(() => undefined);
     try {
-      return await Promise.race([link.fetchConfiguration(generation), inTime]);
+      return await Promise.race([link.fetchConfiguration(question), inTime]);
     } finally {
       late.abort(NOT_NEEDED);
     }
--- a/packages/calls/src/relay.ts
+++ b/packages/calls/src/relay.ts
@@ -34,7 +34,8 @@
 export interface RelayOptions {
   readonly clock: Clock;
   readonly routes: () => HostRoutes | undefined;
-  readonly generation: () => number;
+  /** Which configuration is in force. */
+  readonly configuration: { readonly generation: number; readonly digest: string };
   readonly journal: Journal;
   readonly forwarder: Pick<Forwarder, 'forward'>;
   /** Service of the upstream on this VM. */
@@ -58,7 +59,7 @@
     const routes = this.options.routes();
     const route = routes?.find(request.host, request.path);
     const service = route && routes?.serviceFor(route);
-    if (!routes || !route || service === undefined) return answerOf(endOf(this.unroutable(routes, route), 0));
+    if (!routes || !route || service === undefined) return this.refuseUnroutable(request, routes, route);
     const parent = request.parentId === undefined ? undefined : this.options.running.get(request.parentId);
     if (parent) this.options.learned.saw(parent.route.name, { name: route.name, service });
     const context = this.context(request, route, parent);
@@ -87,6 +88,20 @@
     return answerOf(endOf(refusalOf('draining', 'The daemon is ending.', ELSEWHERE_SOON), 0));
   }
 
+  /** Noted with the version in force: to its caller, a daemon that lacks a route looks like one that never had it. */
+  private refuseUnroutable(
+    { requestId, host, path }: RelayedRequest,
+    routes: HostRoutes | undefined,
+    route: HostRoute | undefined,
+  ): CallAnswer {
+    const { journal, configuration } = this.options;
+    const { generation, digest } = configuration;
+    journal.note(requestId, 'Taken.', { host, path, generation, digest });
+    const answer = answerOf(endOf(this.unroutable(routes, route), 0));
+    this.noteEnd(requestId, answer, 0);
+    return answer;
+  }
+
   private unroutable(routes: HostRoutes | undefined, route: HostRoute | undefined): Refusal {
     if (!routes) return refusalOf('noConfiguration', 'This daemon has no configuration yet.', SOON);
     if (!route) return refusalOf('routeUnknown', 'No route has this host and path.');
@@ -163,7 +178,7 @@
       depth: (parent?.context.depth ?? -1) + 1,
       targetEpoch: 0,
       toHome: false,
-      generation: this.options.generation(),
+      generation: this.options.configuration.generation,
       route: route.name,
       idempotent: route.idempotent,
       originService: this.options.originService,
--- a/packages/configuration/src/configurationSpread.ts
+++ b/packages/configuration/src/configurationSpread.ts
@@ -1,7 +1,7 @@
 /** Brings new generations to this daemon: from the platform if it is one of the few readers, else from peers. */
 import { type Clock, type Random } from '@cleatquay/clock';
 import { asFailure } from '@cleatquay/errors';
-import { ConfigurationAnswer } from '@cleatquay/protocol';
+import { ConfigurationAnswer, type ConfigurationRequest } from '@cleatquay/protocol';
 import { type Configuration } from './configuration.js';
 import { type ConfigurationStore } from './configurationStore.js';
 
@@ -18,15 +18,14 @@
   readonly store: ConfigurationStore | undefined;
   /** Whether this daemon is one of those of its failure domain that read the platform. */
   readonly isReader: () => boolean;
-  /** Asks a peer for what it has over `generation`. */
-  readonly fetch: (peer: string, generation: number) => Promise<ConfigurationAnswer>;
+  /** Asks a peer for what this daemon lacks. */
+  readonly fetch: (peer: string, question: ConfigurationRequest) => Promise<ConfigurationAnswer>;
   /** Whom to ask for what a peer says that it has. */
   readonly holderOf: (peer: string) => string;
   /** How long a source of this daemon's own has to bring what a peer has, before the peer is asked, ms. */
   readonly patienceMs: (peer: string) => number;
   /** Some other peer that may have it. */
   readonly otherPeer: () => string | undefined;
-  readonly log: (message: string) => void;
 }
 
 /** Two tasks: one reads the platform, one fetches from peers what gossip says they have. */
@@ -81,13 +80,11 @@
   }
 
   private async readOnce(store: ConfigurationStore): Promise<boolean> {
-    const { configuration, log } = this.options;
+    const { configuration } = this.options;
     this.state.platformReads++;
     try {
       if ((await store.generation()) <= configuration.generation) return true;
-      const version = await store.read();
-      if (configuration.adopt(version))
-        log(`Generation ${String(version.generation)} came from the platform.`);
+      configuration.adopt(await store.read(), 'platform');
       return true;
     } catch (error) {
       this.state.platformFailures++;
@@ -97,30 +94,27 @@
   }
 
   private async fetchUntilCaughtUp(first: string): Promise<void> {
-    const { configuration, clock, log } = this.options;
+    const { configuration, clock } = this.options;
     await clock.sleep(this.options.patienceMs(first), this.stopped.signal);
     let peer: string | undefined = this.options.holderOf(first);
     while (configuration.generation < this.wanted && !this.stopped.signal.aborted) {
-      if (peer !== undefined && (await this.fetchOnce(peer))) {
-        log(`Generation ${String(configuration.generation)} came from ${peer}.`);
-      }
+      if (peer !== undefined) await this.fetchOnce(peer);
       if (configuration.generation >= this.wanted) return;
       peer = this.options.otherPeer();
       await clock.sleep(FETCH_RETRY_MS, this.stopped.signal);
     }
   }
 
-  private async fetchOnce(peer: string): Promise<boolean> {
+  private async fetchOnce(peer: string): Promise<void> {
     const { configuration } = this.options;
     this.state.peerFetches++;
     try {
-      const answer = await this.options.fetch(peer, configuration.generation);
+      const answer = await this.options.fetch(peer, configuration.question());
       this.state.peerBytes += ConfigurationAnswer.encode(answer).finish().length;
-      return configuration.adoptChanges(answer);
+      configuration.adoptAnswer(answer, peer);
     } catch (error) {
       this.state.peerFailures++;
       this.state.lastError = asFailure(error).describe();
-      return false;
     }
   }
 }
--- a/packages/configuration/src/configurationWatch.ts
+++ b/packages/configuration/src/configurationWatch.ts
@@ -94,8 +94,7 @@
       const version = await source.next(configuration.generation, signal);
       if (this.isLost) log('The source is back.', {});
       this.isLost = false;
-      if (version && configuration.adoptWhole(version.generation, version.sections))
-        log('A version is in force.', { generation: version.generation, sections: version.sections.size });
+      if (version) configuration.adoptWhole(version.generation, version.sections, 'platform');
       return true;
     } catch (error) {
       if (!this.isLost && !signal.aborted)
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -1,6 +1,13 @@
 /** Accepting the operators' configuration, keeping it, and bringing it to every daemon. */
-export { Configuration } from './configuration.js';
+export { type Adoption, Configuration, type Origin } from './configuration.js';
 export { ConfigurationStore, type AppliedVersion, type Generation } from './configurationStore.js';
 export { ConfigurationSpread, type SpreadOptions } from './configurationSpread.js';
-export { type Change, type Sections, differences, joinSections, splitSections } from './sections.js';
+export {
+  type Change,
+  type Sections,
+  differences,
+  digestOf,
+  joinSections,
+  splitSections,
+} from './sections.js';
 export { ConfigurationWatch, type ConfigurationSource, type SourcedVersion } from './configurationWatch.js';
--- a/packages/configuration/src/sections.ts
+++ b/packages/configuration/src/sections.ts
@@ -1,9 +1,13 @@
 /** A configuration in sections, one for each service and one for the rest, so that small changes travel small. */
 import { type OperatorFile, checkOperatorFile } from '@cleatquay/settings';
+import { createHash } from 'node:crypto';
 
 const GENERAL = 'general';
 const SERVICE = 'service:';
 
+/** Hexadecimal digits of a digest: 64 bits, so that two contents share one by chance once in billions of billions. */
+const DIGEST_DIGITS = 16;
+
 /** JSON by section name. */
 export type Sections = ReadonlyMap<string, string>;
 
@@ -32,6 +36,16 @@
   return checkOperatorFile({ ...general, services });
 }
 
+/** Names the content: equal sections in whatever order have the same digest, others have another one. */
+export function digestOf(sections: Sections): string {
+  const hash = createHash('sha256');
+  for (const name of [...sections.keys()].sort()) {
+    const content = sections.get(name) ?? '';
+    hash.update(`${String(name.length)} ${String(content.length)} ${name}${content}`);
+  }
+  return hash.digest('hex').slice(0, DIGEST_DIGITS);
+}
+
 /** What changes on the way from one to the other. */
 export function differences(from: Sections, to: Sections): Change[] {
   const names = [...new Set([...from.keys(), ...to.keys()])].sort();
--- /dev/null
+++ b/packages/daemon/src/adoptionLog.ts
@@ -0,0 +1,14 @@
+/** The line that says which configuration a daemon has put in force, where it came from, and what it changed. */
+import { type Adoption } from '@cleatquay/configuration';
+import { type Logger } from 'pino';
+
+/** Sections that a line names, at most: a change of hundreds is told by its number. */
+const MOST_NAMED = 10;
+
+/** Writes it. Two daemons whose lines have the same generation and different digests differ in content. */
+export function logAdoption(log: Logger, adoption: Adoption): void {
+  const { generation, digest, from, before, changes } = adoption;
+  const named = changes.slice(0, MOST_NAMED).map(({ section, kind }) => `${section} ${kind}`);
+  const facts = { generation, digest, from, before, changes: changes.length, named };
+  log.info(facts, 'Configuration: A version is in force.');
+}
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -23,6 +23,7 @@
 import { type Logger } from 'pino';
 import { writeHttpParserError } from './callerAnswer.js';
 import { callerGateway } from './callerGateway.js';
+import { logAdoption } from './adoptionLog.js';
 import { Core } from './core.js';
 import { type ReportedParts, addGauges, dumpOf, statusOf } from './daemonReport.js';
 import { Faults } from './faults.js';
@@ -71,11 +72,15 @@
   private leaving: 'announced' | 'refusing' | undefined;
 
   private constructor(private readonly parts: DaemonParts) {
-    const { settings, clock } = parts;
+    const { settings, clock, log } = parts;
+    const configurationLog = log.child({ part: 'configuration' });
     this.configuration = new Configuration(
       clock,
       sections => new CallGraph(joinSections(sections)),
-      generation => this.core.membership.setGeneration(generation),
+      adoption => {
+        logAdoption(configurationLog, adoption);
+        this.core.membership.setGeneration(adoption.generation);
+      },
     );
     this.home = new Home(clock);
     this.store = settings.platform === undefined ? undefined : new HttpStore(settings.platform);
@@ -158,7 +163,7 @@
       isCut: address => this.faults.isCut(address),
       turns: this.turns,
       atHome: (head, body, signal) => this.entry.handleAsHome(head, body, signal),
-      configuration: ({ generation }) => this.configuration.changesSince(generation),
+      configuration: question => this.configuration.answer(question),
       onGeneration: (generation, peer) => this.spread.heard(generation, peer),
     });
   }
@@ -194,9 +199,8 @@
   }
 
   private makeSpread(): ConfigurationSpread {
-    const { settings, clock, random, log } = this.parts;
+    const { settings, clock, random } = this.parts;
     const { core } = this;
-    const configurationLog = log.child({ part: 'configuration' });
     return new ConfigurationSpread({
       clock,
       random,
@@ -205,9 +209,8 @@
       isReader: () => readersOf(settings.failureDomain, core.membership.table.all()).includes(core.self),
       holderOf: peer => peer,
       patienceMs: () => 0,
-      fetch: (peer, generation) => core.peers.fetchConfiguration(peer, generation),
+      fetch: (peer, question) => core.peers.fetchConfiguration(peer, question),
       otherPeer: () => core.membership.randomAlive(1)[0]?.address,
-      log: message => configurationLog.info(`Configuration: ${message}`),
     });
   }
 
--- a/packages/daemon/src/daemonReport.ts
+++ b/packages/daemon/src/daemonReport.ts
@@ -33,6 +33,7 @@
     settings: parts.settings,
     configuration: {
       generation: configuration.generation,
+      digest: configuration.digest,
       applyId: configuration.applyId,
       adoptedAt: configuration.adoptedAt,
       spread: parts.spread.state,
@@ -65,6 +66,7 @@
     ...addresses,
     failureDomain: settings.failureDomain,
     generation: configuration.generation,
+    digest: configuration.digest,
     applyId: configuration.applyId,
     adoptedAt: configuration.adoptedAt,
     upstreams: upstreams.dump(),
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -11,6 +11,7 @@
 } from '@cleatquay/calls';
 import { type Clock, type Random } from '@cleatquay/clock';
 import {
+  type Adoption,
   Configuration,
   type ConfigurationSource,
   ConfigurationSpread,
@@ -24,6 +25,7 @@
 import { type ServiceBroker } from 'moleculer';
 import { type IncomingMessage, type ServerResponse, createServer } from 'node:http';
 import { type Logger } from 'pino';
+import { logAdoption } from './adoptionLog.js';
 import { Core } from './core.js';
 import { takeOver } from './formerUpstreams.js';
 import { HttpListeners, addressOf, serverOf } from './httpListeners.js';
@@ -88,6 +90,7 @@
   readonly metrics = new Metrics();
   readonly configuration: Configuration<HostRoutes>;
   private readonly broker: ServiceBroker = quietBroker();
+  private readonly configurationLog: Logger;
   private readonly gateway: RelayGateway;
   private readonly learned: LearnedCalls;
   private readonly pressure: ProcessorPressure;
@@ -110,6 +113,7 @@
 
   private constructor(private readonly parts: RelayDaemonParts) {
     const { clock, random, log, installation } = parts;
+    this.configurationLog = log.child({ part: 'configuration' });
     this.learned = new LearnedCalls(clock);
     const processorLog = log.child({ part: 'processor' });
     const pressureLog = new PressureLog(clock, (message, facts) =>
@@ -127,10 +131,15 @@
       'How late the latest timer was',
       () => this.pressure.lagMs,
     );
+    this.metrics.gauge(
+      'cleatquay_configuration_generation',
+      'Generation in force',
+      () => this.configuration.generation,
+    );
     this.configuration = new Configuration(
       clock,
       sections => new HostRoutes(installation.plan(sections), random, this.configuration.inForce),
-      generation => this.tookGeneration(generation),
+      adoption => this.adopted(adoption),
     );
     this.gateway = new RelayGateway({
       relay: { handle: (...call) => this.relay.handle(...call) },
@@ -266,7 +275,7 @@
         const refusal = refusalOf('innerMessageInvalid', 'This daemon issues no request ids.');
         return Promise.resolve(answerOf(endOf(refusal, 0)));
       },
-      configuration: ({ generation }) => this.configuration.changesSince(generation),
+      configuration: question => this.configuration.answer(question),
       onGeneration: (generation, peer) => this.spread.heard(generation, peer),
     });
   }
@@ -276,7 +285,7 @@
     return new Relay({
       clock,
       routes: () => this.configuration.inForce,
-      generation: () => this.configuration.generation,
+      configuration: this.configuration,
       journal: this.core.journal,
       forwarder: this.core.forwarder,
       originService: settings.service,
@@ -327,20 +336,18 @@
   }
 
   private makeWatch(): ConfigurationWatch {
-    const { clock, log, installation } = this.parts;
-    const configurationLog = log.child({ part: 'configuration' });
+    const { clock, installation } = this.parts;
     return new ConfigurationWatch({
       clock,
       configuration: this.configuration,
       source: installation.source,
       isOnDuty: () => this.readers.isOnDuty,
-      log: (message, facts) => configurationLog.info(facts, `Configuration: ${message}`),
+      log: (message, facts) => this.configurationLog.info(facts, `Configuration: ${message}`),
     });
   }
 
   private makeSpread(): ConfigurationSpread {
-    const { clock, random, log } = this.parts;
-    const configurationLog = log.child({ part: 'configuration' });
+    const { clock, random } = this.parts;
     return new ConfigurationSpread({
       clock,
       random,
@@ -348,10 +355,9 @@
       store: undefined,
       isReader: () => false,
       patienceMs: peer => this.readers.patienceMs(peer),
-      fetch: (peer, generation) => this.core.peers.fetchConfiguration(peer, generation),
+      fetch: (peer, question) => this.core.peers.fetchConfiguration(peer, question),
       holderOf: peer => this.readers.holderOf(peer),
       otherPeer: () => this.membership.randomAlive(1)[0]?.address,
-      log: message => configurationLog.info(`Configuration: ${message}`),
     });
   }
 
@@ -382,10 +388,11 @@
     void Promise.race([this.meeting.met, clock.sleep(MEETING_PATIENCE_MS)]).then(() => (this.hasMet = true));
   }
 
-  private tookGeneration(generation: number): void {
+  private adopted(adoption: Adoption): void {
+    logAdoption(this.configurationLog, adoption);
     const routes = this.configuration.inForce?.plan.routes ?? [];
     this.classes = routes.reduce((most, { rank }) => Math.max(most, rank + 1), 1);
-    this.core.membership.setGeneration(generation);
+    this.core.membership.setGeneration(adoption.generation);
     this.gateway.applyLimits();
   }
 
--- a/packages/daemon/src/relayReport.ts
+++ b/packages/daemon/src/relayReport.ts
@@ -24,6 +24,7 @@
     address: membership.me.address,
     failureDomain: membership.me.failureDomain,
     generation: configuration.generation,
+    digest: configuration.digest,
     adoptedAt: configuration.adoptedAt,
     upstreams: upstreams.dump(),
     members: [...membership.table.all()],
--- a/tests/configuration.spec.ts
+++ b/tests/configuration.spec.ts
@@ -105,9 +105,9 @@
               new Configuration(
                 new ManualClock(),
                 sections => new CallGraph(joinSections(sections)),
-                g => {
-                  expect(g).to.be.greaterThan(seen[i]!);
-                  seen[i] = g;
+                ({ generation }) => {
+                  expect(generation).to.be.greaterThan(seen[i]!);
+                  seen[i] = generation;
                 },
               ),
           );
@@ -121,15 +121,16 @@
               const sections = splitSections(accepted[published]!);
               published++;
               for (const { section } of differences(before, sections)) since.set(section, published);
-              daemons[from]!.adopt({
+              const version = {
                 generation: published,
                 applyId: String(published),
                 sections,
                 since: new Map(since),
-              });
+              };
+              daemons[from]!.adopt(version, 'platform');
             }
-            const answer = daemons[from]!.changesSince(daemons[to]!.generation);
-            late.push(() => daemons[to]!.adoptChanges(answer));
+            const answer = daemons[from]!.answer(daemons[to]!.question());
+            late.push(() => daemons[to]!.adoptAnswer(answer, 'peer'));
             if (delay > 2) late.splice(0, delay).forEach(deliver => deliver());
           }
           for (const daemon of daemons.filter(d => d.generation > 0)) {
--- a/tests/platformExplain.spec.ts
+++ b/tests/platformExplain.spec.ts
@@ -64,6 +64,15 @@
     expect(text).to.match(/late\.1 {2}Refused or failed\. {2}code=3007/);
   });
 
+  it('on a route that the daemon lacks leads to the version in force there, and where that came from', async () => {
+    expect((await fleet.ask(0, { id: 'unrouted', host: 'nowhere.example' })).status).to.equal(404);
+    const [, digest] = /Taken\. {2}host=nowhere\.example path=\/x generation=1 digest=(\w+)/.exec(
+      explain('unrouted'),
+    )!;
+    const adopted = fleet.logged.find(({ msg }) => msg === 'Configuration: A version is in force.');
+    expect(adopted).to.include({ generation: 1, digest, from: 'platform' });
+  });
+
   it('of which the logs have nothing is not explained by a guess', () => {
     const { status, stderr } = spawnSync(process.execPath, [CLI, 'explain', 'nobody', '--logs', logFile()], {
       encoding: 'utf8',
--- a/tests/relay.spec.ts
+++ b/tests/relay.spec.ts
@@ -58,7 +58,7 @@
     return new Relay({
       clock,
       routes: () => routes,
-      generation: () => 1,
+      configuration: { generation: 1, digest: 'd' },
       journal: new Journal(clock),
       forwarder: { forward },
       originService: 'history',
