Show three faults of changes that were not in force, by tests that fail

Cause: not mended yet. Change: histories of four daemons that read, miss versions, start afresh and take from each other; four daemons as processes of the bundle, each behind a proxy of its own before the store, one of which is stopped and continued while a route is dropped and the others start again; and the same four when all open connections to the store fall silent between two changes. The proxy is a new stand-in; ports and processes of tests have fixtures of their own.

--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -10,3 +10,4 @@
   type UpstreamCall,
   type UpstreamFault,
 } from './platform/upstreamOfPlatform.js';
+export { LoopbackProxy, type ProxyMode } from './loopbackProxy.js';
--- a/tests/platformProcess.spec.ts
+++ b/tests/platformProcess.spec.ts
@@ -4,50 +4,11 @@
 import { once } from 'node:events';
 import { copyFileSync, mkdtempSync, writeFileSync } from 'node:fs';
 import { request } from 'node:http';
-import { type AddressInfo, type Server, createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { HeldPorts } from './fixtures/heldPorts.js';
 import { configurationText, routeTo } from './fixtures/platformFleet.js';
 
-async function listen(port: number): Promise<Server | undefined> {
-  const server = createServer();
-  return new Promise(resolve => {
-    server.once('error', () => resolve(undefined));
-    server.listen(port, '127.0.0.1', () => resolve(server));
-  });
-}
-
-/**
- * Ports for a daemon, which takes none by itself. All of them are held until they are released together: one that was
- * let go before the next was chosen is the next in one of 700 starts, and the daemon then ends at once.
- */
-class HeldPorts {
-  private readonly servers: Server[] = [];
-
-  /** A port. */
-  async one(): Promise<number> {
-    const server = (await listen(0))!;
-    this.servers.push(server);
-    return (server.address() as AddressInfo).port;
-  }
-
-  /** A port, and the one after it. */
-  async two(): Promise<[number, number]> {
-    for (;;) {
-      const port = await this.one();
-      const next = await listen(port + 1);
-      if (!next) continue;
-      this.servers.push(next);
-      return [port, port + 1];
-    }
-  }
-
-  /** Lets all of them go. */
-  async release(): Promise<void> {
-    await Promise.all(this.servers.map(server => new Promise(resolve => server.close(resolve))));
-  }
-}
-
 describe('the bundled daemon as a process', () => {
   let store: PlatformStoreStandin;
   let upstream: PlatformUpstreamStandin;
