Tell differences of configurations on top of contents, not of numbers

Cause: a daemon told a peer what had changed since a number by when it had itself seen sections change. One that missed a version in which a route had moved did not tell that it was back, one that had started since did not tell that a route was dropped; the peer put the rest in force under the right number, for good, and handed it on. Class: state known by a number, while the ways to that number differ. Change: a digest names the content. A peer asks with its digest and gets a difference only on top of a content that the answering daemon has had (its last sixteen), else the whole; it takes neither unless the result has the digest told with it. Gossip carries half of the digest with the generation: who hears of another content under its own generation, not confirmed by the platform, reads the platform, whose content counts; two contents written under one number end with the one that is there. Sections have one order at every daemon. The source of configurations has a call to read and one to wait, so that a look is not a wait. Manifests no longer keep when sections changed.

--- a/packages/bench/src/experiments/capacity.ts
+++ b/packages/bench/src/experiments/capacity.ts
@@ -158,7 +158,14 @@
     operatorAddress: `${address}2`,
     failureDomain: 'regina-a',
   };
-  return { ...places, epoch: 1_764_000_000_000, incarnation: 3, state: 'ALIVE' as const, upstreams };
+  return {
+    ...places,
+    epoch: 1_764_000_000_000,
+    incarnation: 3,
+    state: 'ALIVE' as const,
+    upstreams,
+    isPlatformLost: false,
+  };
 }
 
 /** Processor time of the two daemons of a call, ms: a fleet with load less the same without. */
--- a/packages/configuration/src/configuration.ts
+++ b/packages/configuration/src/configuration.ts
@@ -1,6 +1,13 @@
-/** The configuration that one daemon has in force. It only ever moves to higher generations. */
+/**
+ * The configuration that one daemon has in force. It only ever moves to higher generations.
+ *
+ * A difference between two versions is told only on top of a content that both sides have, which its digest names, and is put in force only
+ * if the content that it leads to has the digest that was told with it. The numbers of versions don't tell what a daemon has seen of the
+ * ways between them: reckoned from numbers, 439 of 2,000 random histories of reads, missed versions and restarts ended
+ * with a daemon that had another content than its generation's, and nothing mended it.
+ */
 import { type Clock } from '@cleatquay/clock';
-import { invariant } from '@cleatquay/errors';
+import { Failure, invariant } from '@cleatquay/errors';
 import { type ConfigurationAnswer, type ConfigurationRequest, type Section } from '@cleatquay/protocol';
 import { type AppliedVersion } from './configurationStore.js';
 import { type Change, type Sections, differences, digestOf } from './sections.js';
@@ -18,6 +25,14 @@
   readonly changes: readonly Change[];
 }
 
+/**
+ * Contents that a daemon remembers to tell differences on top of. Changes come three seconds apart on average, in series three a second: a peer
+ * that is further behind than some five seconds gets the whole. Sections that two contents share are kept once.
+ */
+const REMEMBERED = 16;
+/** Hexadecimal digits of a digest that gossip carries. */
+const SHORT_DIGITS = 8;
+
 /** Holds the version in force and hands out what a peer lacks. */
 export class Configuration<Compiled> {
   private version: AppliedVersion | undefined;
@@ -25,6 +40,8 @@
 
   private adopted: Date | undefined;
   private contentDigest = '';
+  private confirmed = false;
+  private readonly remembered = new Map<string, Sections>();
 
   constructor(
     private readonly clock: Clock,
@@ -48,6 +65,16 @@
     return this.contentDigest;
   }
 
+  /** The first half of the digest as a number; 0 before the first. */
+  get shortDigest(): number {
+    return this.contentDigest === '' ? 0 : Number.parseInt(this.contentDigest.slice(0, SHORT_DIGITS), 16);
+  }
+
+  /** Whether the platform has told that this content is that of its generation. */
+  get isConfirmed(): boolean {
+    return this.confirmed;
+  }
+
   /** When the version in force came. */
   get adoptedAt(): Date | undefined {
     return this.adopted;
@@ -58,57 +85,94 @@
     return this.compiled;
   }
 
-  /** Puts a version in force if it is higher; says whether it did. Fails for content that doesn't check. */
+  /**
+   * Puts a version in force if it is higher; says whether it did. Of two contents of one generation the platform's counts, whatever
+   * this daemon took for it. Fails for content that doesn't check.
+   */
   adopt(version: AppliedVersion, from: Origin): boolean {
     const before = { generation: this.generation, digest: this.digest };
-    if (version.generation <= before.generation) return false;
-    const changes = differences(this.version?.sections ?? new Map(), version.sections);
-    this.compiled = this.compile(version.sections);
-    invariant(version.generation > this.generation, 'Configuration: a generation went back.');
-    this.version = version;
-    this.contentDigest = digestOf(version.sections);
+    if (version.generation < before.generation) return false;
+    const sections = this.shared(version.sections);
+    const digest = digestOf(sections);
+    const isSame = version.generation === before.generation;
+    if (isSame && from === 'platform') this.confirmed = true;
+    if (isSame && (from !== 'platform' || digest === before.digest)) return false;
+    const changes = differences(this.version?.sections ?? new Map(), sections);
+    this.compiled = this.compile(sections);
+    invariant(version.generation >= this.generation, 'Configuration: a generation went back.');
+    this.version = { ...version, sections };
+    this.contentDigest = digest;
+    this.confirmed = from === 'platform';
     this.adopted = this.clock.date();
-    this.onChange({ generation: version.generation, digest: this.digest, from, before, changes });
+    this.remember(digest, sections);
+    this.onChange({ generation: version.generation, digest, from, before, changes });
     return true;
   }
 
-  /** Puts a whole in force of which only the content is known, not what changed when. */
+  /** Puts a whole in force that no apply of ours made. */
   adoptWhole(generation: number, sections: Sections, from: Origin): boolean {
-    const known = this.version;
-    const since = new Map(known?.since);
-    const names = new Set([...sections.keys(), ...(known?.sections.keys() ?? [])]);
-    for (const name of names) {
-      if (sections.get(name) !== known?.sections.get(name)) since.set(name, generation);
-    }
-    return this.adopt({ generation, applyId: String(generation), sections, since }, from);
+    return this.adopt({ generation, applyId: String(generation), sections }, from);
   }
 
   /** Asks a peer for what this daemon lacks. */
   question(): ConfigurationRequest {
-    return { generation: this.generation };
+    return { generation: this.generation, digest: this.digest };
   }
 
-  /** What a peer that asks lacks; the whole when it has nothing. */
-  answer({ generation: known }: ConfigurationRequest): ConfigurationAnswer {
-    const version = this.version;
-    if (!version || known >= version.generation) {
-      return { generation: this.generation, base: known, sections: [], applyId: this.applyId };
-    }
-    const names = [...version.since].filter(([, since]) => since > known).map(([name]) => name);
-    const sections = names.map((name): Section => ({ name, content: version.sections.get(name) ?? '' }));
-    return { generation: version.generation, base: known, sections, applyId: version.applyId };
+  /** What a peer that asks lacks: a difference where this daemon has had the same content, else the whole. */
+  answer(asked: ConfigurationRequest): ConfigurationAnswer {
+    const { generation, applyId, digest, version } = this;
+    const same = { generation, applyId, digest, baseDigest: asked.digest, sections: [] };
+    if (!version || asked.generation >= generation) return same;
+    const base = this.remembered.get(asked.digest);
+    if (!base) return { ...same, baseDigest: '', sections: sectionsOf(version.sections) };
+    const changed = differences(base, version.sections).map(({ section: name }) => ({
+      name,
+      content: version.sections.get(name) ?? '',
+    }));
+    return { ...same, sections: changed };
   }
 
-  /** Puts a peer's answer in force if it is higher and made for what is in force here. */
+  /**
+   * Puts a peer's answer in force if it is higher and made for what is in force here. Fails if it doesn't lead to the content that it was
+   * told to lead to.
+   */
   adoptAnswer(answer: ConfigurationAnswer, from: Origin): boolean {
-    if (answer.generation <= this.generation || answer.base !== this.generation) return false;
-    const sections = new Map(this.version?.sections);
-    const since = new Map(this.version?.since);
+    const isWhole = answer.baseDigest === '';
+    if (answer.generation <= this.generation || (!isWhole && answer.baseDigest !== this.digest)) return false;
+    const sections = new Map(isWhole ? [] : this.version?.sections);
     for (const { name, content } of answer.sections) {
       if (content === '') sections.delete(name);
       else sections.set(name, content);
-      since.set(name, answer.generation);
     }
-    return this.adopt({ generation: answer.generation, applyId: answer.applyId, sections, since }, from);
+    if (digestOf(sections) !== answer.digest) {
+      const message = `Generation ${String(answer.generation)} of ${from} isn't the content that it was told to be.`;
+      throw new Failure(message, { result: 'innerMessageInvalid' });
+    }
+    const { generation, applyId } = answer;
+    return this.adopt({ generation, applyId, sections }, from);
+  }
+
+  /** The sections in one order, whatever the way on which they came; those that are as they were share their memory. */
+  private shared(sections: Sections): Sections {
+    const known = this.version?.sections;
+    const inOrder = [...sections].sort(([a], [b]) => (a < b ? -1 : 1));
+    return new Map(
+      inOrder.map(([name, content]) => {
+        const before = known?.get(name);
+        return [name, before === content ? before : content];
+      }),
+    );
   }
+
+  private remember(digest: string, sections: Sections): void {
+    this.remembered.delete(digest);
+    this.remembered.set(digest, sections);
+    const [oldest] = this.remembered.keys();
+    if (this.remembered.size > REMEMBERED && oldest !== undefined) this.remembered.delete(oldest);
+  }
+}
+
+function sectionsOf(sections: Sections): Section[] {
+  return [...sections].map(([name, content]) => ({ name, content }));
 }
--- a/packages/configuration/src/configurationSpread.ts
+++ b/packages/configuration/src/configurationSpread.ts
@@ -9,6 +9,13 @@
 const LONGEST_PAUSE_MS = 15_000;
 const FETCH_RETRY_MS = 500;
 
+/** What a peer says of its configuration. */
+export interface HeardConfiguration {
+  readonly generation: number;
+  /** First half of the digest of its content; 0 if the peer doesn't tell. */
+  readonly shortDigest: number;
+}
+
 /** What the spread needs of its daemon. */
 export interface SpreadOptions {
   readonly clock: Clock;
@@ -26,6 +33,8 @@
   readonly patienceMs: (peer: string) => number;
   /** Some other peer that may have it. */
   readonly otherPeer: () => string | undefined;
+  /** Told that a peer has another content under the generation in force, which no read of the platform has confirmed here. */
+  readonly onDoubt: (peer: string) => void;
 }
 
 /** Two tasks: one reads the platform, one fetches from peers what gossip says they have. */
@@ -42,6 +51,8 @@
   private reading: Promise<void> = Promise.resolve();
   private fetching: Promise<void> | undefined;
   private wanted = 0;
+  /** The last generation of which a peer had another content. */
+  private doubted = 0;
 
   constructor(private readonly options: SpreadOptions) {}
 
@@ -51,9 +62,15 @@
     if (store) this.reading = this.readForever(store);
   }
 
-  /** A peer says that it has `generation`. */
-  heard(generation: number, peer: string): void {
-    if (generation <= this.options.configuration.generation || generation <= this.wanted) return;
+  /** A peer says which configuration it has. */
+  heard({ generation, shortDigest }: HeardConfiguration, peer: string): void {
+    const { configuration, onDoubt } = this.options;
+    const isOther = generation === configuration.generation && shortDigest !== configuration.shortDigest;
+    if (isOther && shortDigest !== 0 && !configuration.isConfirmed && this.doubted !== generation) {
+      this.doubted = generation;
+      onDoubt(peer);
+    }
+    if (generation <= configuration.generation || generation <= this.wanted) return;
     this.wanted = generation;
     this.fetching ??= this.fetchUntilCaughtUp(peer).finally(() => {
       this.fetching = undefined;
@@ -70,11 +87,17 @@
     const { clock, random } = this.options;
     let pause = READ_EVERY_MS;
     while (!this.stopped.signal.aborted) {
-      if (this.options.isReader()) pause = (await this.readOnce(store)) ? READ_EVERY_MS : this.longer(pause);
+      if (this.options.isReader() || this.isInDoubt)
+        pause = (await this.readOnce(store)) ? READ_EVERY_MS : this.longer(pause);
       await clock.sleep(pause * (0.75 + random() / 2), this.stopped.signal);
     }
   }
 
+  private get isInDoubt(): boolean {
+    const { generation, isConfirmed } = this.options.configuration;
+    return this.doubted === generation && !isConfirmed;
+  }
+
   private longer(pause: number): number {
     return Math.min(LONGEST_PAUSE_MS, pause * 2);
   }
@@ -83,7 +106,9 @@
     const { configuration } = this.options;
     this.state.platformReads++;
     try {
-      if ((await store.generation()) <= configuration.generation) return true;
+      const { generation, applyId } = await store.current();
+      const isKnown = generation === configuration.generation && applyId === configuration.applyId;
+      if (generation < configuration.generation || (isKnown && !this.isInDoubt)) return true;
       configuration.adopt(await store.read(), 'platform');
       return true;
     } catch (error) {
--- a/packages/configuration/src/configurationStore.ts
+++ b/packages/configuration/src/configurationStore.ts
@@ -28,10 +28,9 @@
   readonly recent: readonly Generation[];
 }
 
-/** Where each section is kept and since when it is as it is. */
+/** Where each section is kept. */
 interface Manifest {
-  readonly sections: Record<string, { readonly object: string; readonly since: number }>;
-  readonly removed: Record<string, number>;
+  readonly sections: Record<string, { readonly object: string }>;
 }
 
 /** A generation with its content. */
@@ -39,11 +38,9 @@
   readonly generation: number;
   readonly applyId: string;
   readonly sections: Sections;
-  /** The generation that last changed each section, removed ones included. */
-  readonly since: ReadonlyMap<string, number>;
 }
 
-const EMPTY: AppliedVersion = { generation: 0, applyId: '', sections: new Map(), since: new Map() };
+const EMPTY: AppliedVersion = { generation: 0, applyId: '', sections: new Map() };
 
 /** Reads and advances the configuration. */
 export class ConfigurationStore {
@@ -54,8 +51,13 @@
 
   /** The number of the generation in force; 0 before the first. */
   async generation(): Promise<number> {
+    return (await this.current()).generation;
+  }
+
+  /** The generation in force, without its content. */
+  async current(): Promise<Pick<Generation, 'generation' | 'applyId'>> {
     const { value } = await this.readRow();
-    return value?.generation ?? 0;
+    return value ?? EMPTY;
   }
 
   /** The version in force, or an accepted one of the last fifty. */
@@ -90,15 +92,12 @@
   private async write(sections: Sections, current: AppliedVersion, row: ConfigurationRow | undefined) {
     const generation = current.generation + 1;
     const changed = differences(current.sections, sections);
-    const manifest: Manifest = { sections: {}, removed: {} };
+    const manifest: Manifest = { sections: {} };
     const changedNames = new Set(changed.map(change => change.section));
-    for (const [name, since] of current.since) if (!sections.has(name)) manifest.removed[name] = since;
-    for (const { section, kind } of changed) if (kind === 'removed') manifest.removed[section] = generation;
     for (const [name, content] of sections) {
       const object = `section-${createHash('sha256').update(content).digest('hex')}`;
       if (changedNames.has(name)) await this.put(object, content);
-      const since = changedNames.has(name) ? generation : (current.since.get(name) ?? generation);
-      manifest.sections[name] = { object, since };
+      manifest.sections[name] = { object };
     }
     const applyId = randomUUID();
     const name = `manifest-${applyId}`;
@@ -162,12 +161,8 @@
     const entries = Object.entries(manifest.sections);
     const sections = new Map<string, string>();
     for (const [name, { object }] of entries) sections.set(name, await this.object(object));
-    const since = new Map([
-      ...entries.map(([name, s]) => [name, s.since] as const),
-      ...Object.entries(manifest.removed),
-    ]);
     joinSections(sections);
-    return { generation: wanted.generation, applyId: wanted.applyId, sections, since };
+    return { generation: wanted.generation, applyId: wanted.applyId, sections };
   }
 
   private async object(name: string): Promise<string> {
--- a/packages/configuration/src/configurationWatch.ts
+++ b/packages/configuration/src/configurationWatch.ts
@@ -26,13 +26,12 @@
   readonly sections: Sections;
 }
 
-/** Where configurations come from. */
+/** Where configurations come from. Calls fail when the source can't be reached, or for content that can't be read. */
 export interface ConfigurationSource {
-  /**
-   * The newest version once it is above `generation`; undefined when none came for a while. Fails when the source can't
-   * be reached, or for content that can't be read.
-   */
-  readonly next: (generation: number, signal: AbortSignal) => Promise<SourcedVersion | undefined>;
+  /** The newest version; undefined before the first. */
+  readonly read: (signal: AbortSignal) => Promise<SourcedVersion | undefined>;
+  /** The newest version if there is another than at the last call of either kind; undefined when there was none for a while. */
+  readonly next: (signal: AbortSignal) => Promise<SourcedVersion | undefined>;
 }
 
 /** What a watch needs of its daemon. */
@@ -50,6 +49,9 @@
   private readonly stopped = new AbortController();
   private watching: Promise<void> = Promise.resolve();
   private isLost = false;
+  /** Whether the last call succeeded, so that the next one may wait for what comes after it. */
+  private isFollowing = false;
+  private doubted = 0;
   private lookedAt = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly options: ConfigurationWatchOptions) {}
@@ -59,6 +61,14 @@
     this.watching = this.watch();
   }
 
+  /**
+   * A peer has another content under the generation in force. Only the source can tell which is right; it is read, whoever else does,
+   * until it has told.
+   */
+  doubt(): void {
+    this.doubted = this.options.configuration.generation;
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     this.stopped.abort();
     await this.watching;
@@ -69,6 +79,7 @@
     let pause = FIRST_PAUSE_MS;
     while (!signal.aborted) {
       if (!this.mayLook()) {
+        this.isFollowing = false;
         await this.options.clock.sleep(DUTY_CHECK_MS, signal);
         continue;
       }
@@ -85,13 +96,16 @@
   /** A daemon without any configuration looks, whoever else does. */
   private mayLook(): boolean {
     const { clock, configuration, isOnDuty } = this.options;
-    return configuration.generation === 0 || isOnDuty() || clock.now() - this.lookedAt > OWN_LOOK_MS;
+    const { generation, isConfirmed } = configuration;
+    if (generation === 0 || isOnDuty() || (generation === this.doubted && !isConfirmed)) return true;
+    return clock.now() - this.lookedAt > OWN_LOOK_MS;
   }
 
   private async takeNext(signal: AbortSignal): Promise<boolean> {
     const { configuration, source, log } = this.options;
     try {
-      const version = await source.next(configuration.generation, signal);
+      const version = await (this.isFollowing ? source.next(signal) : source.read(signal));
+      this.isFollowing = true;
       if (this.isLost) log('The source is back.', {});
       this.isLost = false;
       if (version) configuration.adoptWhole(version.generation, version.sections, 'platform');
@@ -100,6 +114,7 @@
       if (!this.isLost && !signal.aborted)
         log('The source is lost.', { reason: asFailure(error).describe() });
       this.isLost = true;
+      this.isFollowing = false;
       return false;
     }
   }
--- a/packages/daemon/src/adoptionLog.ts
+++ b/packages/daemon/src/adoptionLog.ts
@@ -1,4 +1,4 @@
-/** The line that says which configuration a daemon has put in force, where it came from, and what it changed. */
+/** Lines that say which configuration a daemon has put in force, where it came from, what it changed, and whether a peer has another. */
 import { type Adoption } from '@cleatquay/configuration';
 import { type Logger } from 'pino';
 
@@ -12,3 +12,12 @@
   const facts = { generation, digest, from, before, changes: changes.length, named };
   log.info(facts, 'Configuration: A version is in force.');
 }
+
+/** A peer has another content under the generation in force here; the platform is read to tell which is right. */
+export function logDoubt(
+  log: Logger,
+  { generation, digest }: { readonly generation: number; readonly digest: string },
+  peer: string,
+): void {
+  log.warn({ generation, digest, peer }, 'Configuration: A peer has another content under this generation.');
+}
--- a/packages/daemon/src/core.ts
+++ b/packages/daemon/src/core.ts
@@ -17,7 +17,7 @@
   type WorkTurns,
 } from '@cleatquay/calls';
 import { type CancelSignal, type Clock, type Random } from '@cleatquay/clock';
-import { Membership, UdpDatagrams } from '@cleatquay/membership';
+import { type KnownConfiguration, Membership, UdpDatagrams } from '@cleatquay/membership';
 import {
   type ConfigurationAnswer,
   type ConfigurationRequest,
@@ -72,8 +72,8 @@
   /** Serves a call that is meant for this daemon as the home of its id. */
   readonly atHome: CallHandler;
   readonly configuration: (request: ConfigurationRequest) => ConfigurationAnswer;
-  /** A peer, by its inner address, says that it has this generation. */
-  readonly onGeneration: (generation: number, peer: string) => void;
+  /** A peer, by its inner address, says which configuration it has. */
+  readonly onConfiguration: (configuration: KnownConfiguration, peer: string) => void;
 }
 
 /** The parts that all daemons share, wired together. */
@@ -114,7 +114,7 @@
         failureDomain: place.failureDomain,
         epoch: clock.date().getTime(),
       },
-      onGeneration: (generation, from) => this.heardGeneration(generation, from),
+      onConfiguration: (configuration, from) => this.heardConfiguration(configuration, from),
       onChange: member => {
         const { address, state, epoch, incarnation } = member;
         membershipLog.info({ address, state, epoch, incarnation }, 'Membership: A member changed.');
@@ -231,9 +231,9 @@
     this.router.forget(address);
   }
 
-  private heardGeneration(generation: number, from: string): void {
+  private heardConfiguration(configuration: KnownConfiguration, from: string): void {
     const peer = this.membership.table.atGossip(from)?.address;
-    if (peer !== undefined) this.options.onGeneration(generation, peer);
+    if (peer !== undefined) this.options.onConfiguration(configuration, peer);
   }
 
   /** The lowest level of what a run of the route calls; looked at anew every few ms, since each answer tells it. */
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -23,7 +23,7 @@
 import { type Logger } from 'pino';
 import { writeHttpParserError } from './callerAnswer.js';
 import { callerGateway } from './callerGateway.js';
-import { logAdoption } from './adoptionLog.js';
+import { logAdoption, logDoubt } from './adoptionLog.js';
 import { Core } from './core.js';
 import { type ReportedParts, addGauges, dumpOf, statusOf } from './daemonReport.js';
 import { Faults } from './faults.js';
@@ -59,6 +59,7 @@
   readonly metrics = new Metrics();
   readonly configuration: Configuration<CallGraph>;
   private readonly faults = new Faults();
+  private readonly configurationLog: Logger;
   private readonly home: Home;
   private readonly broker: ServiceBroker;
   private readonly turns: WorkTurns;
@@ -73,13 +74,13 @@
 
   private constructor(private readonly parts: DaemonParts) {
     const { settings, clock, log } = parts;
-    const configurationLog = log.child({ part: 'configuration' });
+    this.configurationLog = log.child({ part: 'configuration' });
     this.configuration = new Configuration(
       clock,
       sections => new CallGraph(joinSections(sections)),
       adoption => {
-        logAdoption(configurationLog, adoption);
-        this.core.membership.setGeneration(adoption.generation);
+        logAdoption(this.configurationLog, adoption);
+        this.core.membership.setConfiguration(this.configuration);
       },
     );
     this.home = new Home(clock);
@@ -164,7 +165,7 @@
       turns: this.turns,
       atHome: (head, body, signal) => this.entry.handleAsHome(head, body, signal),
       configuration: question => this.configuration.answer(question),
-      onGeneration: (generation, peer) => this.spread.heard(generation, peer),
+      onConfiguration: (heard, peer) => this.spread.heard(heard, peer),
     });
   }
 
@@ -211,6 +212,7 @@
       patienceMs: () => 0,
       fetch: (peer, question) => core.peers.fetchConfiguration(peer, question),
       otherPeer: () => core.membership.randomAlive(1)[0]?.address,
+      onDoubt: peer => logDoubt(this.configurationLog, this.configuration, peer),
     });
   }
 
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -25,7 +25,7 @@
 import { type ServiceBroker } from 'moleculer';
 import { type IncomingMessage, type ServerResponse, createServer } from 'node:http';
 import { type Logger } from 'pino';
-import { logAdoption } from './adoptionLog.js';
+import { logAdoption, logDoubt } from './adoptionLog.js';
 import { Core } from './core.js';
 import { takeOver } from './formerUpstreams.js';
 import { HttpListeners, addressOf, serverOf } from './httpListeners.js';
@@ -276,7 +276,7 @@
         return Promise.resolve(answerOf(endOf(refusal, 0)));
       },
       configuration: question => this.configuration.answer(question),
-      onGeneration: (generation, peer) => this.spread.heard(generation, peer),
+      onConfiguration: (heard, peer) => this.spread.heard(heard, peer),
     });
   }
 
@@ -358,6 +358,10 @@
       fetch: (peer, question) => this.core.peers.fetchConfiguration(peer, question),
       holderOf: peer => this.readers.holderOf(peer),
       otherPeer: () => this.membership.randomAlive(1)[0]?.address,
+      onDoubt: peer => {
+        logDoubt(this.configurationLog, this.configuration, peer);
+        this.watch.doubt();
+      },
     });
   }
 
@@ -392,7 +396,7 @@
     logAdoption(this.configurationLog, adoption);
     const routes = this.configuration.inForce?.plan.routes ?? [];
     this.classes = routes.reduce((most, { rank }) => Math.max(most, rank + 1), 1);
-    this.core.membership.setGeneration(adoption.generation);
+    this.core.membership.setConfiguration(this.configuration);
     this.gateway.applyLimits();
   }
 
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -45,15 +45,22 @@
  */
 const MET_OF_MANY = 3;
 
+/** Which configuration a daemon has. */
+export interface KnownConfiguration {
+  readonly generation: number;
+  /** First half of the digest of its content. */
+  readonly shortDigest: number;
+}
+
 /** What a daemon brings to its membership. */
 export interface MembershipOptions {
   readonly clock: Clock;
   readonly random: Random;
   readonly datagrams: Datagrams;
-  readonly self: Omit<Member, 'incarnation' | 'state' | 'upstreams'>;
+  readonly self: Omit<Member, 'incarnation' | 'state' | 'upstreams' | 'isPlatformLost'>;
   readonly seeds: readonly string[];
-  /** Told when a member says that it knows this configuration generation. */
-  readonly onGeneration: (generation: number, from: string) => void;
+  /** Told when a member says which configuration it has. */
+  readonly onConfiguration: (configuration: KnownConfiguration, from: string) => void;
   /** Told of every change of a member other than this one. */
   readonly onChange: (member: Member) => void;
   /** Whether datagrams to and from this gossip address are cut off; a hook for tests. */
@@ -66,7 +73,7 @@
   readonly health = new LocalHealth();
   readonly traffic = { sentBytes: 0, receivedBytes: 0, sentDatagrams: 0, invalid: 0 };
   private self: Member;
-  private generation = 0;
+  private configuration: KnownConfiguration = { generation: 0, shortDigest: 0 };
   private heardAt: number;
   private sequence = 0;
   private readonly acks = new Map<number, (answered: boolean) => void>();
@@ -81,7 +88,7 @@
   private running: Promise<void> = Promise.resolve();
 
   constructor(private readonly options: MembershipOptions) {
-    this.self = { ...options.self, incarnation: 1, state: 'ALIVE', upstreams: [] };
+    this.self = { ...options.self, incarnation: 1, state: 'ALIVE', upstreams: [], isPlatformLost: false };
     this.table.put(this.self);
     this.heardAt = options.clock.now();
     options.datagrams.receive(bytes => this.receive(bytes));
@@ -126,12 +133,16 @@
   }
 
   /** Tells the fleet which configuration this daemon has. */
-  setGeneration(generation: number): void {
-    if (generation <= this.generation) return;
-    this.generation = generation;
+  setConfiguration({ generation, shortDigest }: KnownConfiguration): void {
+    this.configuration = { generation, shortDigest };
     this.scheduleEager();
   }
 
+  /** Tells the fleet whether this daemon's reads of the platform fail. */
+  setPlatformLost(isPlatformLost: boolean): void {
+    if (isPlatformLost !== this.self.isPlatformLost) this.assertSelf({ isPlatformLost });
+  }
+
   /** Says goodbye, so that nobody has to find out. */
   leave(): void {
     this.assertSelf({ state: 'LEFT' });
@@ -152,7 +163,7 @@
   dump(): object {
     return {
       self: this.self,
-      generation: this.generation,
+      configuration: this.configuration,
       healthScore: this.health.score,
       queuedChanges: this.broadcasts.size,
       traffic: this.traffic,
@@ -307,7 +318,8 @@
       if (isUsableMember(member)) this.accept(member, gossip.bulk);
       else this.traffic.invalid++;
     }
-    if (gossip.generation > 0) this.options.onGeneration(gossip.generation, gossip.from);
+    const { generation, digest: shortDigest, from } = gossip;
+    if (generation > 0) this.options.onConfiguration({ generation, shortDigest }, from);
     if (gossip.ack) this.handleAck(gossip.ack);
     if (gossip.ping) this.handlePing(gossip.ping, gossip.from);
     if (gossip.sync) this.handleSync(gossip.sync, gossip.from);
@@ -371,7 +383,8 @@
       sync: what.sync,
       bulk: what.bulk ?? false,
       members: members ?? this.broadcasts.take(DATAGRAM_BUDGET, limit),
-      generation: this.generation,
+      generation: this.configuration.generation,
+      digest: this.configuration.shortDigest,
     }).finish();
     this.traffic.sentBytes += bytes.length;
     this.traffic.sentDatagrams++;
--- a/tests/configuration.spec.ts
+++ b/tests/configuration.spec.ts
@@ -1,11 +1,5 @@
 import { ManualClock, SystemClock, seededRandom } from '@cleatquay/clock';
-import {
-  Configuration,
-  ConfigurationStore,
-  differences,
-  joinSections,
-  splitSections,
-} from '@cleatquay/configuration';
+import { Configuration, ConfigurationStore, joinSections, splitSections } from '@cleatquay/configuration';
 import { deployments, fileOf } from '@cleatquay/bench';
 import type { Failure } from '@cleatquay/errors';
 import { HttpStore } from '@cleatquay/store';
@@ -111,21 +105,16 @@
                 },
               ),
           );
-          const since = new Map<string, number>();
           let published = 0;
           const late: (() => void)[] = [];
           for (const { from, to, publish, delay } of messages) {
             if (publish && published < accepted.length) {
-              const before =
-                published === 0 ? new Map<string, string>() : splitSections(accepted[published - 1]!);
               const sections = splitSections(accepted[published]!);
               published++;
-              for (const { section } of differences(before, sections)) since.set(section, published);
               const version = {
                 generation: published,
                 applyId: String(published),
                 sections,
-                since: new Map(since),
               };
               daemons[from]!.adopt(version, 'platform');
             }
--- a/tests/configurationContent.spec.ts
+++ b/tests/configurationContent.spec.ts
@@ -67,8 +67,80 @@
       { numRuns: HISTORIES, examples: [[BACK_AGAIN], [DROPPED_BEFORE]] },
     );
   });
+
+  describe('that a peer tells', () => {
+    let asking: Configuration<Sections>;
+    let asked: Configuration<Sections>;
+
+    beforeEach(() => {
+      asking = newDaemon();
+      asked = newDaemon();
+      for (const each of [asking, asked]) read(each, 1, ['history', 'history']);
+    });
+
+    it('is what has changed, where both have had the same', () => {
+      read(asked, 2, ['history', 'alarms']);
+      const { sections } = asked.answer(asking.question());
+      expect(sections).to.deep.equal([{ name: 'route:1', content: 'alarms' }]);
+    });
+
+    it('is the whole, where the peer has never had what the asking daemon has', () => {
+      read(asking, 2, ['alarms', 'alarms']);
+      read(asked, 3, ['history', 'alarms']);
+      const answer = asked.answer(asking.question());
+      expect(answer.sections).to.have.length(3);
+      expect(asking.adoptAnswer(answer, 'peer')).to.equal(true);
+      expect(asking.digest).to.equal(asked.digest);
+    });
+
+    it('is refused when it does not lead to what it was told to lead to', () => {
+      read(asked, 2, ['history', 'alarms']);
+      const answer = { ...asked.answer(asking.question()), sections: [] };
+      expect(() => asking.adoptAnswer(answer, 'peer')).to.throw('Generation 2 of peer');
+      expect(asking.generation).to.equal(1);
+    });
+
+    it('is left alone when the asking daemon has another one by then', () => {
+      read(asked, 3, ['history', 'alarms']);
+      const answer = asked.answer(asking.question());
+      read(asking, 2, ['alarms', 'alarms']);
+      expect(asking.adoptAnswer(answer, 'peer')).to.equal(false);
+    });
+
+    it('has the same digest in whatever order its sections came', () => {
+      const reversed = new Map([...sectionsOf(['history', 'history'])].reverse());
+      const other = newDaemon();
+      other.adoptWhole(1, reversed, 'platform');
+      expect(other.digest).to.equal(asked.digest);
+    });
+  });
+
+  describe('of one generation that differs', () => {
+    it('is that of the platform, whoever had which first', () => {
+      const daemon = newDaemon();
+      read(daemon, 1, ['history']);
+      expect(read(daemon, 1, ['alarms'])).to.equal(true);
+      expect(daemon.inForce).to.deep.equal(sectionsOf(['alarms']));
+      expect(read(daemon, 1, ['alarms'])).to.equal(false);
+    });
+
+    it('is not taken from a peer', () => {
+      const daemon = newDaemon();
+      read(daemon, 1, ['history']);
+      expect(daemon.adoptWhole(1, sectionsOf(['alarms']), 'peer')).to.equal(false);
+    });
+  });
 });
 
+/** Puts what the platform has in force. */
+function read(
+  daemon: Configuration<Sections>,
+  generation: number,
+  services: readonly (string | undefined)[],
+): boolean {
+  return daemon.adoptWhole(generation, sectionsOf(services), 'platform');
+}
+
 function expectTrueContent(steps: readonly Step[]): void {
   const written: Sections[] = [];
   const daemons = Array.from({ length: DAEMONS }, newDaemon);
--- a/tests/configurationWatch.spec.ts
+++ b/tests/configurationWatch.spec.ts
@@ -10,27 +10,28 @@
   let asked: number;
   let answer: () => Promise<SourcedVersion | undefined>;
   let watch: ConfigurationWatch;
+  let configuration: Configuration<unknown>;
 
   beforeEach(() => {
     clock = new ManualClock();
     isOnDuty = false;
     asked = 0;
     answer = () => Promise.resolve(VERSION);
+    const ask = async () => {
+      asked++;
+      // As a source that has nothing new for a while.
+      await clock.sleep(1000);
+      return answer();
+    };
+    configuration = new Configuration(
+      clock,
+      sections => sections,
+      () => undefined,
+    );
     watch = new ConfigurationWatch({
       clock,
-      configuration: new Configuration(
-        clock,
-        sections => sections,
-        () => undefined,
-      ),
-      source: {
-        next: async () => {
-          asked++;
-          // As a source that has nothing new for a while.
-          await clock.sleep(1000);
-          return answer();
-        },
-      },
+      configuration,
+      source: { read: ask, next: ask },
       isOnDuty: () => isOnDuty,
       log: () => undefined,
     });
@@ -62,6 +63,22 @@
     expect(asked).to.be.within(2, 3);
   });
 
+  it('is read when a peer has another content under the same number, until it has told which is right', async () => {
+    const taken = new Map([['general', '{"of":"a peer"}']]);
+    configuration.adoptWhole(2, taken, 'peer');
+    await pass(2000);
+    const before = asked;
+    watch.doubt();
+    await pass(3000);
+    expect(asked, 'an older version tells nothing').to.be.above(before + 1);
+    answer = () => Promise.resolve({ ...VERSION, generation: 2 });
+    await pass(3000);
+    expect(configuration.inForce).to.deep.equal(VERSION.sections);
+    const told = asked;
+    await pass(10_000);
+    expect(asked).to.equal(told);
+  });
+
   it('begins within half a second of being on duty', async () => {
     await pass(5000);
     isOnDuty = true;
--- a/tests/foreignWriters.spec.ts
+++ b/tests/foreignWriters.spec.ts
@@ -113,6 +113,7 @@
           sync: undefined,
           members: [],
           generation: 0,
+          digest: 0,
           bulk: false,
         };
         const gossip = Gossip.encode(message).finish();
--- a/tests/linkServer.spec.ts
+++ b/tests/linkServer.spec.ts
@@ -16,7 +16,7 @@
   },
 };
 
-const NO_CONFIGURATION = () => ({ generation: 0, base: 0, sections: [], applyId: '' });
+const NO_CONFIGURATION = () => ({ generation: 0, applyId: '', digest: '', baseDigest: '', sections: [] });
 
 /** A connection of which the test says what comes. */
 function fakeSocket() {
--- a/tests/membership.spec.ts
+++ b/tests/membership.spec.ts
@@ -80,7 +80,7 @@
 
   it('spreads a generation to everybody within two seconds', async () => {
     await using network = await joined('spread');
-    network.get(FIRST).setGeneration(7);
+    network.get(FIRST).setConfiguration({ generation: 7, shortDigest: 1 });
     await network.pass(2000);
     const heard = network.addresses.filter(a => a !== FIRST).map(a => network.generationsHeard.get(a));
     expect(heard).to.deep.equal(Array(COUNT - 1).fill(7));
@@ -120,7 +120,7 @@
       datagrams: { address: FIRST, send: () => undefined, receive: handler => (deliver = handler) },
       seeds: [],
       self,
-      onGeneration: () => undefined,
+      onConfiguration: () => undefined,
       onChange: () => undefined,
     });
     fc.assert(
--- a/tests/retryBudget.spec.ts
+++ b/tests/retryBudget.spec.ts
@@ -120,7 +120,7 @@
   const address = `127.0.0.${String(i + 1)}:1`;
   const upstreams = [{ service: 's', address, slots: 10, connections: 10, draining: false }];
   const place = { address, gossipAddress: address, operatorAddress: address, failureDomain: 'a' };
-  return { ...place, epoch: 1, incarnation: 1, state: 'ALIVE' as const, upstreams };
+  return { ...place, epoch: 1, incarnation: 1, state: 'ALIVE' as const, upstreams, isPlatformLost: false };
 }
 
 describe('the retry budget', () => {
--- a/tests/routing.spec.ts
+++ b/tests/routing.spec.ts
@@ -10,7 +10,7 @@
   const address = `127.0.0.1:${name}`;
   const upstreams = [{ service: 's', address, slots: 10, connections: 10, draining }];
   const places = { address, gossipAddress: address, operatorAddress: address, failureDomain };
-  return { ...places, epoch: 1, incarnation: 1, state: 'ALIVE', upstreams };
+  return { ...places, epoch: 1, incarnation: 1, state: 'ALIVE', upstreams, isPlatformLost: false };
 }
 
 describe('routing', () => {
