End calls to the store in time also when garbage is collected, and leave connections beside a silent one

Cause: the time limit of a call was held weakly only, by a composite signal, and went with the next collection: a call on a connection that fell silent never ended, its daemon never read again and logged nothing. And the call after one that timed out could take another idle connection that had fallen silent in the same moment. Same cause elsewhere: looked for.

--- a/packages/clock/src/index.ts
+++ b/packages/clock/src/index.ts
@@ -1,5 +1,6 @@
 /** Time and randomness as interfaces, so that tests and long seeded runs can hand in their own. */
 export { type Clock, type Timer, SystemClock } from './clock.js';
+export { TimeLimit } from './timeLimit.js';
 export { ManualClock } from './manualClock.js';
 export { type Random, seededRandom } from './random.js';
 export { CALLER_LEFT, DEADLINE_PASSED, NOT_NEEDED } from './abortReason.js';
--- a/tests/storeClient.spec.ts
+++ b/tests/storeClient.spec.ts
@@ -12,6 +12,7 @@
  * Evidence: `AbortSignal.any([signal, AbortSignal.timeout(500)])` with a collection after 100 ms hadn't fired after 3 s, in 2 of 2 tries
  * (node 20.20.2). Of nine daemons in the users' record of silent feeds two logged that theirs had timed out.
  */
+import { SystemClock } from '@cleatquay/clock';
 import { StoreClient } from '@cleatquay/platform';
 import { LoopbackProxy, PlatformStoreStandin } from '@cleatquay/standins';
 import { expect } from 'chai';
@@ -33,7 +34,7 @@
   beforeEach(async () => {
     store = new PlatformStoreStandin();
     proxy = await LoopbackProxy.start(await store.listen());
-    client = new StoreClient(proxy.address);
+    client = new StoreClient(proxy.address, new SystemClock());
   });
 
   afterEach(async () => {
@@ -58,4 +59,14 @@
     clearInterval(collecting);
     expect(first).to.contain('TimeoutError');
   });
+
+  it('loses one call to connections that fell silent, however many lie idle', async () => {
+    await Promise.all([read(), read(), read()]);
+    proxy.silence();
+    const lost = await read().catch((error: unknown) => error);
+    expect(String(lost)).to.contain('TimeoutError');
+    const start = performance.now();
+    await read();
+    expect(performance.now() - start).to.be.below(1000);
+  });
 });
