Have others read the platform in place of daemons whose own reads fail

Cause: two daemons of each failure domain read for the others, chosen by who is alive; the platform may reject just these and serve the others. News then came only from another failure domain, and in one that was cut off after a minute, when a daemon looked for itself. Change: a daemon tells the fleet whether its reads fail (not its waits, whose connections may only have been old), and the next in order of its failure domain read; at most six of a failure domain ever try. One whose reads failed looks again after 5 s. A version that can't be read is logged as refused, by number, and no longer as a source that is lost, nor is it read again until there is another. Checks: platformPath.spec.ts waited for 'The source is lost' after a row that was cut short; it now waits for the refusal and its number, which is stricter.

--- a/packages/configuration/src/configurationSpread.ts
+++ b/packages/configuration/src/configurationSpread.ts
@@ -28,6 +28,8 @@
   readonly store: ConfigurationStore | undefined;
   /** Whether this daemon is one of those of its failure domain that read the platform. */
   readonly isReader: () => boolean;
+  /** Told after each read whether the platform can be reached. */
+  readonly onReach: (isReached: boolean) => void;
   /** Asks a peer for what this daemon lacks. */
   readonly fetch: (peer: string, question: ConfigurationRequest) => Promise<ConfigurationAnswer>;
   /** Whom to ask for what these peers say that they have, in order. */
@@ -57,6 +59,7 @@
   private readonly holders = new Map<string, number>();
   /** The last generation of which a peer had another content. */
   private doubted = 0;
+  private isLost = false;
 
   constructor(private readonly options: SpreadOptions) {}
 
@@ -91,8 +94,7 @@
     const { clock, random } = this.options;
     let pause = READ_EVERY_MS;
     while (!this.stopped.signal.aborted) {
-      if (this.options.isReader() || this.isInDoubt)
-        pause = (await this.readOnce(store)) ? READ_EVERY_MS : this.longer(pause);
+      if (this.mayRead) pause = (await this.readOnce(store)) ? READ_EVERY_MS : this.longer(pause);
       await clock.sleep(pause * (0.75 + random() / 2), this.stopped.signal);
     }
   }
@@ -102,11 +104,22 @@
     return this.doubted === generation && !isConfirmed;
   }
 
+  /** A daemon whose reads fail goes on trying, so that it may read for others again. */
+  private get mayRead(): boolean {
+    return this.options.isReader() || this.isInDoubt || this.isLost;
+  }
+
   private longer(pause: number): number {
     return Math.min(LONGEST_PAUSE_MS, pause * 2);
   }
 
   private async readOnce(store: ConfigurationStore): Promise<boolean> {
+    this.isLost = !(await this.tryToRead(store));
+    this.options.onReach(!this.isLost);
+    return !this.isLost;
+  }
+
+  private async tryToRead(store: ConfigurationStore): Promise<boolean> {
     const { configuration } = this.options;
     this.state.platformReads++;
     try {
--- a/packages/configuration/src/configurationWatch.ts
+++ b/packages/configuration/src/configurationWatch.ts
@@ -3,7 +3,7 @@
  * others hear from them, so that the source is asked by a number of daemons that doesn't grow with the fleet.
  */
 import { type Clock } from '@cleatquay/clock';
-import { asFailure } from '@cleatquay/errors';
+import { type Failure, asFailure } from '@cleatquay/errors';
 import { type Configuration } from './configuration.js';
 import { type Sections } from './sections.js';
 
@@ -22,6 +22,12 @@
  */
 const OWN_LOOK_MS = 60_000;
 
+/**
+ * A daemon whose reads failed, and for which others now read, looks after so long whether they still do, ms: after it, it may read for others
+ * again. Of a failure domain at most six do so (`readers.ts`).
+ */
+const LOST_LOOK_MS = 5000;
+
 /** A version as a source gives it. */
 export interface SourcedVersion {
   readonly generation: number;
@@ -48,6 +54,8 @@
   readonly isOnDuty: () => boolean;
   /** How long to wait for the next version, ms; `isFirst` where the last call brought one. */
   readonly waitMs: (isFirst: boolean) => number;
+  /** Told after each call whether the source can be reached. */
+  readonly onReach: (isReached: boolean) => void;
   readonly log: (message: string, facts: object) => void;
 }
 
@@ -56,8 +64,8 @@
   private readonly stopped = new AbortController();
   private watching: Promise<void> = Promise.resolve();
   private isLost = false;
-  /** What the last call brought: only after one that succeeded, the next one may wait for what comes after it. */
-  private last: 'version' | 'nothing' | 'failure' = 'failure';
+  /** Whether to read, or to wait for what comes after the last call: after one that brought a version, or after one that didn't. */
+  private next: 'read' | 'wait-after-version' | 'wait' = 'read';
   private doubted = 0;
   private lookedAt = Number.NEGATIVE_INFINITY;
 
@@ -86,13 +94,13 @@
     let pause = FIRST_PAUSE_MS;
     while (!signal.aborted) {
       if (!this.mayLook()) {
-        this.last = 'failure';
+        this.next = 'read';
         await this.options.clock.sleep(DUTY_CHECK_MS, signal);
         continue;
       }
       this.lookedAt = this.options.clock.now();
       // A wait that failed says little: its connection may have been old. The source is read at once on another one.
-      const hasWaited = this.last !== 'failure';
+      const hasWaited = this.next !== 'read';
       if ((await this.takeNext(signal)) || hasWaited) {
         pause = FIRST_PAUSE_MS;
         continue;
@@ -107,30 +115,52 @@
     const { clock, configuration, isOnDuty } = this.options;
     const { generation, isConfirmed } = configuration;
     if (generation === 0 || isOnDuty() || (generation === this.doubted && !isConfirmed)) return true;
-    return clock.now() - this.lookedAt > OWN_LOOK_MS;
+    return clock.now() - this.lookedAt > (this.isLost ? LOST_LOOK_MS : OWN_LOOK_MS);
   }
 
   private async takeNext(signal: AbortSignal): Promise<boolean> {
-    const { configuration, log } = this.options;
+    const { configuration } = this.options;
+    const hasRead = this.next === 'read';
     try {
       const version = await this.ask(signal);
-      this.last = version ? 'version' : 'nothing';
-      if (this.isLost) log('The source is back.', {});
-      this.isLost = false;
+      this.next = version ? 'wait-after-version' : 'wait';
+      this.found();
       if (version) configuration.adoptWhole(version.generation, version.sections, 'platform');
       return true;
     } catch (error) {
-      if (!this.isLost && !signal.aborted)
-        log('The source is lost.', { reason: asFailure(error).describe() });
-      this.isLost = true;
-      this.last = 'failure';
+      const failure = asFailure(error);
+      if (signal.aborted) return false;
+      if (failure.result === 'configurationInvalid') return this.refused(failure);
+      this.next = 'read';
+      this.lost(failure, hasRead);
       return false;
     }
   }
 
   private ask(signal: AbortSignal): Promise<SourcedVersion | undefined> {
     const { source, waitMs } = this.options;
-    if (this.last === 'failure') return source.read(signal);
-    return source.next(waitMs(this.last === 'version'), signal);
+    if (this.next === 'read') return source.read(signal);
+    return source.next(waitMs(this.next === 'wait-after-version'), signal);
+  }
+
+  /** The source answers, so that there is nothing to repeat until it has another version. */
+  private refused(failure: Failure): boolean {
+    this.next = 'wait';
+    this.found();
+    this.options.log('A version was refused.', { reason: failure.describe() });
+    return true;
+  }
+
+  private found(): void {
+    if (this.isLost) this.options.log('The source is back.', {});
+    this.isLost = false;
+    this.options.onReach(true);
+  }
+
+  /** Others are told after a read: a wait may have failed for the age of its connection alone. */
+  private lost(failure: Failure, hasRead: boolean): void {
+    if (!this.isLost) this.options.log('The source is lost.', { reason: failure.describe() });
+    this.isLost = true;
+    if (hasRead) this.options.onReach(false);
   }
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -208,6 +208,7 @@
       configuration: this.configuration,
       store: this.store && new ConfigurationStore(this.store, clock),
       isReader: () => readersOf(settings.failureDomain, core.membership.table.all()).includes(core.self),
+      onReach: isReached => core.membership.setPlatformLost(!isReached),
       inOrder: holders => holders,
       patienceMs: () => 0,
       fetch: (peer, question) => core.peers.fetchConfiguration(peer, question),
--- a/packages/daemon/src/readers.ts
+++ b/packages/daemon/src/readers.ts
@@ -9,6 +9,12 @@
 
 /** Readers of a failure domain: one may fail without anybody noticing. */
 const READERS = 2;
+/**
+ * Those that are next in order read in place of readers whose own reads fail: the platform may reject some daemons and serve others. Without them
+ * a failure domain that is cut off from the others had a change a minute late. So many and no more, since an outage for all would
+ * make every daemon ask in turn.
+ */
+const STAND_INS = 4;
 /** How long a reader has for a version that a peer has, before it asks the peer, ms. */
 const READER_PATIENCE_MS = 400;
 /**
@@ -31,12 +37,15 @@
 
 /** The readers of a failure domain, as this view of the fleet has it. Two views that differ only cost some reads. */
 export function readersOf(failureDomain: string, members: Iterable<Member>): string[] {
-  const ranked: { readonly address: string; readonly rank: number }[] = [];
-  for (const { address, failureDomain: domain, state } of members) {
-    if (state === 'ALIVE' && domain === failureDomain) ranked.push({ address, rank: crc32(address) });
+  const ranked: { readonly address: string; readonly rank: number; readonly isPlatformLost: boolean }[] = [];
+  for (const { address, failureDomain: domain, state, isPlatformLost } of members) {
+    if (state === 'ALIVE' && domain === failureDomain)
+      ranked.push({ address, rank: crc32(address), isPlatformLost });
   }
   ranked.sort((a, b) => a.rank - b.rank);
-  return ranked.slice(0, READERS).map(({ address }) => address);
+  const first = ranked.slice(0, READERS + STAND_INS);
+  const reaching = first.filter(({ isPlatformLost }) => !isPlatformLost);
+  return (reaching.length > 0 ? reaching : first).slice(0, READERS).map(({ address }) => address);
 }
 
 /** The readers as one daemon sees them. */
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -343,6 +343,7 @@
       source: installation.source,
       isOnDuty: () => this.readers.isOnDuty,
       waitMs: isFirst => this.readers.waitMs(isFirst),
+      onReach: isReached => this.membership.setPlatformLost(!isReached),
       log: (message, facts) => this.configurationLog.info(facts, `Configuration: ${message}`),
     });
   }
@@ -355,6 +356,7 @@
       configuration: this.configuration,
       store: undefined,
       isReader: () => false,
+      onReach: () => undefined,
       patienceMs: peer => this.readers.patienceMs(peer),
       fetch: (peer, question) => this.core.peers.fetchConfiguration(peer, question),
       inOrder: holders => this.readers.inOrder(holders),
--- a/tests/changesInForce.spec.ts
+++ b/tests/changesInForce.spec.ts
@@ -10,6 +10,9 @@
  *
  * Evidence: by the users' record, links between daemons ended at 35.3 s, 0.9 s after a silence as they do, and feeds that had begun
  * between 29.8 and 34.6 s timed out at 39.3 and 40.1 s.
+ *
+ * Late by a minute: the store rejected just those two daemons of a failure domain that read for the others, which was cut off from
+ * all others besides. Cause: who read for the others was chosen by who is alive, not by whose reads succeed.
  */
 import { expect } from 'chai';
 import { configurationText, routeTo } from './fixtures/platformFleet.js';
@@ -25,6 +28,8 @@
   { service: 'history', failureDomain: 'z2' },
   { service: 'alarms', failureDomain: 'z2' },
 ];
+/** A failure domain that is cut off from all others. */
+const CUT_OFF: ProcessVm[] = VMS.map(vm => ({ ...vm, failureDomain: 'z1' }));
 const BOTH = [routeTo('history'), routeTo('alarms')];
 const ONE = [routeTo('history')];
 
@@ -71,4 +76,21 @@
     await untilInForce(3);
     expect(performance.now() - start).to.be.below(Math.max(IN_FORCE_MS, HARMED_MS));
   });
+
+  it('is in force in time whichever two daemons of a failure domain that is cut off the store rejects', async () => {
+    await fleet[Symbol.asyncDispose]();
+    fleet = await ProcessFleet.start(CUT_OFF, BOTH);
+    const { nodes } = fleet;
+    let version = 1;
+    for (const one of nodes) {
+      for (const other of nodes.slice(nodes.indexOf(one) + 1)) {
+        for (const { proxy } of [one, other]) proxy.reset();
+        const start = performance.now();
+        write(++version);
+        await untilInForce(version);
+        expect(performance.now() - start, `version ${String(version)}`).to.be.below(IN_FORCE_MS);
+        for (const { proxy } of [one, other]) proxy.mode = 'pass';
+      }
+    }
+  });
 });
--- a/tests/configurationSpread.spec.ts
+++ b/tests/configurationSpread.spec.ts
@@ -45,6 +45,7 @@
       configuration,
       store: undefined,
       isReader: () => false,
+      onReach: () => undefined,
       fetch: (peer, question) => {
         asked.push(peer);
         return peers.get(peer)!(question);
--- a/tests/configurationWatch.spec.ts
+++ b/tests/configurationWatch.spec.ts
@@ -11,11 +11,13 @@
   let answer: () => Promise<SourcedVersion | undefined>;
   let watch: ConfigurationWatch;
   let configuration: Configuration<unknown>;
+  let reached: boolean[];
 
   beforeEach(() => {
     clock = new ManualClock();
     isOnDuty = false;
     asked = 0;
+    reached = [];
     answer = () => Promise.resolve(VERSION);
     const ask = async () => {
       asked++;
@@ -34,6 +36,7 @@
       source: { read: ask, next: ask },
       isOnDuty: () => isOnDuty,
       waitMs: () => 1000,
+      onReach: isReached => reached.push(isReached),
       log: () => undefined,
     });
     watch.start();
@@ -80,6 +83,23 @@
     expect(asked).to.equal(told);
   });
 
+  it('is told of as out of reach after a read, and as within reach again when a look finds it back', async () => {
+    await pass(5000);
+    isOnDuty = true;
+    await pass(2000);
+    answer = () => Promise.reject(new Error('away'));
+    reached = [];
+    await pass(1000);
+    expect(reached, 'a wait that fails tells nothing').to.deep.equal([]);
+    await pass(1000);
+    expect(reached).to.deep.equal([false]);
+    // Others read for it from now on.
+    isOnDuty = false;
+    answer = () => Promise.resolve(undefined);
+    await pass(8000);
+    expect(reached).to.deep.equal([false, true]);
+  });
+
   it('begins within half a second of being on duty', async () => {
     await pass(5000);
     isOnDuty = true;
--- a/tests/platformPath.spec.ts
+++ b/tests/platformPath.spec.ts
@@ -158,7 +158,11 @@
 
     it('that is cut short changes nothing, is logged by number, and the next one is taken', async () => {
       fleet.store.put('op', 'config', configurationText(7, [routeTo('alarms')]).slice(0, 80));
-      await until(() => fleet.logged.some(({ msg }) => msg.includes('The source is lost')));
+      await until(() =>
+        fleet.logged.some(
+          ({ msg, reason }) => msg.includes('A version was refused') && reason?.startsWith('CQ1003') === true,
+        ),
+      );
       expect(await serves('history')).to.equal(true);
       moved(8, 'alarms');
       await inForce(8);
