--- a/packages/standins/src/platform/storeOfPlatform.ts
+++ b/packages/standins/src/platform/storeOfPlatform.ts
@@ -106,7 +106,7 @@
       case '/cleatquay/rows-tx':
         return this.apply(JSON.parse(text) as Transaction);
       case '/cleatquay/rows-get':
-        return { status: 200, body: { rows: this.find(query), hasMore: false, ...this.stamp() } };
+        return { status: 200, body: { ...this.page(query), ...this.stamp() } };
       case '/cleatquay/rows-feed':
         return this.feed(query.get('table') ?? '', Number(query.get('after')), Number(query.get('waitMs')));
       default:
@@ -114,6 +114,12 @@
     }
   }
 
+  private page(query: URLSearchParams): { rows: Row[]; hasMore: boolean } {
+    const rows = this.find(query);
+    const limit = Number(query.get('limit') ?? rows.length);
+    return { rows: rows.slice(0, limit), hasMore: rows.length > limit };
+  }
+
   private find(query: URLSearchParams): Row[] {
     const [table, part, from, to] = ['table', 'part', 'from', 'to'].map(name => query.get(name) ?? '');
     return [...this.rows.values()]
--- a/tests/storeClient.spec.ts
+++ b/tests/storeClient.spec.ts
@@ -21,6 +21,8 @@
 
 /** The client's limit for a call is 1.5 s. */
 const WELL_PAST_LIMIT_MS = 4000;
+/** More than the store gives at once. */
+const MANY_ROWS = 600;
 
 setFlagsFromString('--expose-gc');
 const collectGarbage = runInNewContext('gc') as () => void;
@@ -69,4 +71,15 @@
     await read();
     expect(performance.now() - start).to.be.below(1000);
   });
+
+  it('tells of changes to rows that it had read before the last page', async () => {
+    for (let i = 0; i < MANY_ROWS; i++) store.put('daemons', `row-${String(i).padStart(4, '0')}`, 'old');
+    const table = client.rows('daemons', signal);
+    while (store.calls.get('/cleatquay/rows-get') !== 1) await new Promise(resolve => setImmediate(resolve));
+    store.put('daemons', 'row-0000', 'new');
+    const { rows, version } = await table;
+    const changes = await client.changes('daemons', version, 0, signal);
+    const told = [...rows, ...(changes?.rows ?? [])].filter(({ key }) => key === 'row-0000');
+    expect(told.at(-1)?.text).to.equal('new');
+  });
 });
