Write the own row only in place of the version that is known

Cause: a write that was given up may take effect seconds later, and then put what the row had said before in place of what it says by now; the daemon knew by its own count of changes that it was written. After a restart it would take up an upstream that had told it that it leaves. Change: each write has the version of the row that it replaces as its condition, and takes the place of another one at once where there is one. The stand-in of the store performs writes late.

--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -13,5 +13,6 @@
   type MeetingRow,
   type Created,
   type Departure,
+  type ListedRow,
   type MeetingTable,
 } from './meeting.js';
--- a/packages/membership/src/meeting.ts
+++ b/packages/membership/src/meeting.ts
@@ -3,7 +3,7 @@
  * rows only say whom to gossip with; who is alive is what the gossip finds.
  */
 import { type Clock, type Random } from '@cleatquay/clock';
-import { asFailure } from '@cleatquay/errors';
+import { Failure, asFailure } from '@cleatquay/errors';
 import { type Membership } from './membership.js';
 
 /**
@@ -19,6 +19,8 @@
 const OWN_ROW_MS = 60_000;
 /** A row of a member that gossip has taken for gone is removed when it has not changed for so long, ms. */
 const REMOVE_AFTER_MS = 60_000;
+/** Tries of one write, each in place of the version that the one before found: no one but this daemon writes its row often. */
+const WRITE_TRIES = 3;
 /** How long a departure may wait for the table, ms; its upstream waits a second for the answer. */
 const RECORD_TIMEOUT_MS = 400;
 
@@ -53,18 +55,32 @@
 /** What of a row outlives the process that wrote it. */
 export type KeptState = Pick<MeetingRow, 'departures' | 'upstreams'>;
 
-/** The shared table. Every call may fail, also after it took effect. */
+/** A row as the table has it. */
+export interface ListedRow extends MeetingRow {
+  /** Told apart from earlier writes of the row by this number. */
+  readonly version: number;
+}
+
+/** The shared table. Every call may fail, also after it took effect, or before it takes effect. */
 export interface MeetingTable {
   /** Puts a row where there is none yet; otherwise gives the address of the row that is there, and what is in it if that can be read. */
   readonly create: (row: MeetingRow, signal: AbortSignal) => Promise<Created>;
-  readonly list: (signal: AbortSignal) => Promise<readonly MeetingRow[]>;
-  readonly put: (row: MeetingRow, signal: AbortSignal) => Promise<void>;
+  readonly list: (signal: AbortSignal) => Promise<readonly ListedRow[]>;
+  /** Puts a row in place of that of the version, 0 for none; otherwise gives the version that is there. */
+  readonly put: (row: MeetingRow, version: number, signal: AbortSignal) => Promise<Put>;
   readonly remove: (address: string, signal: AbortSignal) => Promise<void>;
 }
 
-/** Whether a row was put, and if not, the one that is there; undefined where that can't be read. */
-export type Created =
-  { readonly isNew: true } | { readonly isNew: false; readonly former: MeetingRow | undefined };
+/** Whether a row was put, and the version that is there. */
+export interface Put {
+  readonly isDone: boolean;
+  readonly version: number;
+}
+
+/** Whether a row was put where there was none, and if not, the one that is there; undefined where that can't be read. */
+export interface Created extends Put {
+  readonly former: MeetingRow | undefined;
+}
 
 /** What a meeting needs of its daemon. */
 export interface MeetingOptions {
@@ -89,6 +105,8 @@
   /** Whether the own row is there, as far as is known. */
   private hasRow = false;
   private hasCreated = false;
+  /** Version of the own row, as far as is known; 0 for none. */
+  private version = 0;
   /** Changes of what the row should say, and how many of them are known to be in it. */
   private changes = 0;
   private written = 0;
@@ -158,7 +176,9 @@
       if (this.mustWrite) await this.write(signal);
       const rows = await table.list(signal);
       const { gossipAddress } = this.options.membership.me;
-      this.hasRow = rows.some(row => row.address === this.self && row.gossipAddress === gossipAddress);
+      const own = rows.find(({ address }) => address === this.self);
+      this.version = own?.version ?? 0;
+      this.hasRow = own?.gossipAddress === gossipAddress;
       this.options.membership.meet(this.othersIn(rows));
       await this.removeGone(rows, signal);
       if (this.isLost) log('The table is back.', { rows: rows.length });
@@ -175,22 +195,33 @@
     const { table, onFormer, membership } = this.options;
     const { changes } = this;
     const created = await table.create(this.row(), signal);
-    if (created.isNew) this.written = changes;
-    const former = created.isNew ? undefined : created.former;
+    const { isDone, former } = created;
+    if (isDone) this.written = changes;
     if (former) onFormer(former);
     this.hasCreated = true;
-    this.hasRow = created.isNew || former?.gossipAddress === membership.me.gossipAddress;
+    this.version = created.version;
+    this.hasRow = isDone || former?.gossipAddress === membership.me.gossipAddress;
   }
 
   private get mustWrite(): boolean {
     return !this.hasRow || this.written < this.changes;
   }
 
+  /**
+   * Writes only in place of the version that it knows: a write that was given up, and takes effect seconds later, would put what the row said
+   * then in place of what it says by now. Where there is another version, its place is taken at once.
+   */
   private async write(signal: AbortSignal): Promise<void> {
-    const { changes } = this;
-    await this.options.table.put(this.row(), signal);
-    this.written = Math.max(this.written, changes);
-    this.hasRow = true;
+    for (let left = WRITE_TRIES; left > 0; left--) {
+      const { changes } = this;
+      const put = await this.options.table.put(this.row(), this.version, signal);
+      this.version = put.version;
+      if (!put.isDone) continue;
+      this.written = Math.max(this.written, changes);
+      this.hasRow = true;
+      return;
+    }
+    throw new Failure('The own row changes all the time.', { result: 'platformDown' });
   }
 
   private othersIn(rows: readonly MeetingRow[]): string[] {
--- a/packages/standins/src/platform/storeOfPlatform.ts
+++ b/packages/standins/src/platform/storeOfPlatform.ts
@@ -11,6 +11,8 @@
   delayMs: number;
   /** Share of writes that take effect while their answer is lost, 0 to 1. */
   loseAnswers: number;
+  /** Writes get no answer and take effect so much later, ms, if their condition still holds; 0 for none. */
+  lateWritesMs: number;
 }
 
 interface Row {
@@ -33,7 +35,7 @@
 
 /** The store behind HTTP. */
 export class PlatformStoreStandin implements AsyncDisposable {
-  readonly faults: PlatformStoreFaults = { down: 'no', delayMs: 0, loseAnswers: 0 };
+  readonly faults: PlatformStoreFaults = { down: 'no', delayMs: 0, loseAnswers: 0, lateWritesMs: 0 };
   /** Calls by path, answered or not. */
   readonly calls = new Map<string, number>();
   private readonly rows = new Map<string, Row>();
@@ -89,13 +91,19 @@
     for await (const chunk of request) chunks.push(chunk as Buffer);
     const url = new URL(request.url ?? '/', 'http://store');
     this.calls.set(url.pathname, (this.calls.get(url.pathname) ?? 0) + 1);
-    const { down, delayMs } = this.faults;
+    const { down, delayMs, lateWritesMs } = this.faults;
+    const isWrite = url.pathname.endsWith('-tx');
     if (down === 'silent') return;
     if (down === 'reset') return void request.socket.resetAndDestroy();
     if (down !== 'no') return end(response, down, {});
     if (delayMs > 0) await sleep(delayMs);
-    const { status, body } = await this.answer(url, Buffer.concat(chunks).toString('utf8'));
-    const isLost = url.pathname.endsWith('-tx') && this.random() < this.faults.loseAnswers;
+    const text = Buffer.concat(chunks).toString('utf8');
+    if (isWrite && lateWritesMs > 0) {
+      response.destroy();
+      await sleep(lateWritesMs);
+    }
+    const { status, body } = await this.answer(url, text);
+    const isLost = isWrite && this.random() < this.faults.loseAnswers;
     if (isLost) response.destroy();
     else end(response, status, body);
   }
--- a/tests/meeting.spec.ts
+++ b/tests/meeting.spec.ts
@@ -33,12 +33,15 @@
         create: async row => {
           await mayRead;
           const former = rows.find(({ address }) => address === row.address);
-          if (former) return { isNew: false, former };
+          if (former) return { isDone: false, version: 1, former };
           rows = [row];
-          return { isNew: true };
+          return { isDone: true, version: 1, former: undefined };
+        },
+        list: () => Promise.resolve(rows.map(row => ({ ...row, version: 1 }))),
+        put: row => {
+          rows = [row];
+          return Promise.resolve({ isDone: true, version: 1 });
         },
-        list: () => Promise.resolve(rows),
-        put: row => Promise.resolve(void (rows = [row])),
         remove: () => Promise.resolve(),
       },
       kept: () => kept,
