End a daemon whose address is taken, with a number

One of its ports had been taken by another connection between two of its starts; moleculer-web only logs that a server can't listen, to a log that is off, and the start waited for ever, its other listeners open. Class: a guard that is gone without a word. Measured: platformProcess.spec.ts: 60 s without an end before, exit 1 with CQ6004 after, for three listeners; the same by hand for the operators' port.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -29,7 +29,7 @@
 import { Faults } from './faults.js';
 import { Metrics } from './metrics.js';
 import { operatorGateway } from './operatorGateway.js';
-import { addressOf, serverOf } from './httpListeners.js';
+import { addressOf, serverOf, startServers } from './httpListeners.js';
 import { quietBroker } from './quietBroker.js';
 import { readersOf } from './readers.js';
 import { checkListening, checkSameVm } from './upstreamAddress.js';
@@ -244,7 +244,7 @@
         setDraining: draining => this.upstreams.setDraining(draining),
       }),
     );
-    await this.broker.start();
+    await startServers(this.broker, [serverOf(callers), serverOf(operators)]);
     const server = serverOf(callers);
     server.on('clientError', (error, socket) => writeHttpParserError(error, socket));
     this.callerAddress = addressOf(settings.ip, server);
--- a/packages/daemon/src/httpListeners.ts
+++ b/packages/daemon/src/httpListeners.ts
@@ -1,4 +1,5 @@
 /** HTTP servers of a daemon that answer by themselves: moleculer-web listens and closes, and routes nothing. */
+import { Failure } from '@cleatquay/errors';
 import { splitAddress } from '@cleatquay/settings';
 import { type Service, type ServiceBroker } from 'moleculer';
 import ApiGateway from 'moleculer-web';
@@ -37,6 +38,11 @@
     });
   }
 
+  /** All of them. */
+  get servers(): readonly Server[] {
+    return this.listening.map(({ server }) => server);
+  }
+
   /** Where they listen, by name. */
   get addresses(): ReadonlyMap<string, string> {
     return new Map(this.listening.map(({ name, ip, server }) => [name, addressOf(ip, server)]));
@@ -53,6 +59,18 @@
   }
 }
 
+/**
+ * Starts the broker, and with it the servers of its services. Fails when one of them can't listen: moleculer-web only logs that, and the daemon would go
+ * on half started, for good and without a word.
+ */
+export async function startServers(broker: ServiceBroker, servers: readonly Server[]): Promise<void> {
+  const refused = new Promise<never>((_resolve, reject) => {
+    const refuse = ({ message }: Error) => reject(new Failure(`${message}.`, { result: 'addressTaken' }));
+    for (const server of servers) server.once('error', refuse);
+  });
+  await Promise.race([broker.start(), refused]);
+}
+
 /** The HTTP server that moleculer-web made for a service. */
 export function serverOf(service: Service): Server {
   return (service as Service & { server: Server }).server;
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -28,7 +28,7 @@
 import { logAdoption, logDoubt, logPeerFailure } from './adoptionLog.js';
 import { Core } from './core.js';
 import { takeOver } from './formerUpstreams.js';
-import { HttpListeners, addressOf, serverOf } from './httpListeners.js';
+import { HttpListeners, addressOf, serverOf, startServers } from './httpListeners.js';
 import { Metrics } from './metrics.js';
 import { operatorGateway } from './operatorGateway.js';
 import { quietBroker } from './quietBroker.js';
@@ -393,7 +393,7 @@
         setDraining: draining => this.upstreams.setDraining(draining),
       }),
     );
-    await this.broker.start();
+    await startServers(this.broker, [...this.listeners.servers, serverOf(operators)]);
     this.membership.setOperatorAddress(addressOf(settings.ip, serverOf(operators)));
     this.membership.start();
     this.watch.start();
--- a/packages/errors/src/resultCodes.ts
+++ b/packages/errors/src/resultCodes.ts
@@ -116,6 +116,7 @@
     'unknown',
     'Add the logs of the other daemons, or ask a daemon that still remembers.',
   ),
+  addressTaken: row(6004, 503, 'not-run', 'Free the address, or set another one.'),
   internal: row(6999, 500, 'unknown', 'Report this with the log lines around it.'),
 } as const;
 
--- a/tests/platformProcess.spec.ts
+++ b/tests/platformProcess.spec.ts
@@ -4,6 +4,7 @@
 import { once } from 'node:events';
 import { copyFileSync, mkdtempSync, writeFileSync } from 'node:fs';
 import { request } from 'node:http';
+import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { HeldPorts } from './fixtures/heldPorts.js';
@@ -139,6 +140,21 @@
     for (let i = 0; i < 600; i++) expect(await ask(`unread-${String(i)}`)).to.equal(502);
   });
 
+  for (const setting of ['callers', 'readiness', 'announcements'] as const) {
+    it(`says that its address for ${setting} is taken, and exits`, async () => {
+      const address = String(settings[setting]);
+      const [ip, port] = address.split(':');
+      const other = createServer().listen(Number(port), ip);
+      await once(other, 'listening');
+      start(settings);
+      expect((await once(daemon, 'close'))[0]).to.equal(1);
+      expect(errors)
+        .to.match(/^CQ6004 /)
+        .and.to.contain(address);
+      other.close();
+    });
+  }
+
   it('says which setting is wrong, and exits', async () => {
     start({ ...settings, bounds: { graceS: 'long' } });
     expect((await once(daemon, 'close'))[0]).to.equal(1);
