Tell an upstream that ended from one that broke an answer off, and what ran there

Cause: our logs couldn't tell the hypotheses of the incident apart: no line said that an upstream had ended, nor what was running there by its content; a request that came again under another id could not be known again. Change: when a connection of an upstream breaks, its daemon looks once whether anything still listens there; if not, it logs the start that ended with a fingerprint of each request that ran there, and explains it for each of them. A fingerprint is made of method, path, body and those headers that aren't of one attempt (packages/quarantine); no choice depends on it yet. The stand-in of an upstream can end and start again as another instance.

--- a/packages/calls/src/headTemplates.ts
+++ b/packages/calls/src/headTemplates.ts
@@ -41,6 +41,7 @@
         method: '',
         path: head.path,
         headers: '',
+        fingerprint: head.fingerprint,
         context: {
           ...context,
           route: '',
@@ -76,6 +77,7 @@
       method,
       path: head.path,
       headers,
+      fingerprint: head.fingerprint,
       context: { ...context, rootId, route, idempotent, originService, targetEpoch },
     };
   }
--- a/packages/calls/src/index.ts
+++ b/packages/calls/src/index.ts
@@ -29,7 +29,7 @@
 export { ReplayBody } from './replayBody.js';
 export { type RequestId, RequestIds, parseRequestId } from './requestId.js';
 export { type Repeat, RetryAllowance, type RetryBudget } from './retryAllowance.js';
-export { RunningCall, RunningCalls } from './runningCalls.js';
+export { RunningCall, RunningCalls, type RunningRequest } from './runningCalls.js';
 export { TryMemory } from './tryMemory.js';
 export { GRACE_MS, type LocalUpstream, UpstreamSide, type UpstreamSideOptions } from './upstreamSide.js';
 export {
@@ -38,6 +38,13 @@
   UpstreamConnections,
   type UpstreamRequest,
 } from './upstreamConnections.js';
+export {
+  type InterruptedRequest,
+  type UpstreamEnd,
+  UpstreamEnds,
+  type UpstreamEndsOptions,
+  fingerprintAt,
+} from './upstreamEnds.js';
 export { type AnswerMeaning, type UpstreamDialect, ownDialect } from './upstreamDialect.js';
 export { type FleetRetryBounds, FleetRetryBudget } from './fleetRetryBudget.js';
 export { Relay, type RelayOptions, type RelayedRequest } from './relay.js';
--- a/packages/calls/src/runningCalls.ts
+++ b/packages/calls/src/runningCalls.ts
@@ -1,8 +1,16 @@
 /** The requests that run on the upstream beside this daemon: what their calls further down inherit. */
 import { type CancelSignal } from '@cleatquay/clock';
 import { invariant } from '@cleatquay/errors';
-import { type CallContext } from '@cleatquay/protocol';
-import { type CallRoute } from './callHandler.js';
+import { type CallContext, type RequestHead } from '@cleatquay/protocol';
+import { type CallBody, type CallRoute } from './callHandler.js';
+
+/** What a running request asks, and at which start of an upstream it runs. */
+export interface RunningRequest {
+  readonly head: RequestHead;
+  readonly body: CallBody;
+  /** Names the start of the upstream. */
+  readonly start: string;
+}
 
 /** A request that was dispatched here and has not ended. */
 export class RunningCall {
@@ -17,6 +25,7 @@
     readonly deadlineAt: number,
     /** Aborts when the request is given up. */
     readonly signal: CancelSignal,
+    readonly request?: RunningRequest,
   ) {
     this.retryTokens = context.retryTokens;
   }
@@ -62,6 +71,11 @@
     return this.calls.get(requestId);
   }
 
+  /** What runs at a start of an upstream, the latest last. */
+  at(start: string): RunningRequest[] {
+    return [...this.calls.values()].flatMap(({ request }) => (request?.start === start ? [request] : []));
+  }
+
   /** Registers the call until the result is disposed of. */
   enter(call: RunningCall): Disposable {
     const { requestId } = call.context;
--- /dev/null
+++ b/packages/calls/src/upstreamEnds.ts
@@ -0,0 +1,95 @@
+/**
+ * Tells an upstream that has ended from one that only broke an answer off: nothing listens at its address any more. What ran there when
+ * the first connection broke is what it may have ended under.
+ */
+import { type Clock } from '@cleatquay/clock';
+import { type AskedHead, fingerprintOf } from '@cleatquay/quarantine';
+import { splitAddress } from '@cleatquay/settings';
+import { connect } from 'node:net';
+import { type RunningCalls, type RunningRequest } from './runningCalls.js';
+import { type LocalUpstream } from './upstreamSide.js';
+
+/** An upstream on the same VM that takes longer to let a connection in hasn't ended, as far as is known, ms. */
+const LOOK_TIMEOUT_MS = 100;
+/** Requests that are told of one end, those that began last: eight bytes each, so that they fit into one datagram. */
+const MOST_REQUESTS = 64;
+
+/** A request that ran where an upstream ended. */
+export interface InterruptedRequest extends Pick<AskedHead, 'method' | 'path'> {
+  readonly fingerprint: string;
+}
+
+/** The end of an upstream, and what ran there. */
+export interface UpstreamEnd {
+  /** Names the start that has ended. */
+  readonly start: string;
+  readonly requests: readonly InterruptedRequest[];
+}
+
+/** What this needs of its daemon. */
+export interface UpstreamEndsOptions {
+  readonly clock: Clock;
+  readonly running: RunningCalls;
+  /** Told once of each end, before those who asked are. */
+  readonly onEnd: (end: UpstreamEnd) => Promise<void>;
+}
+
+/** Looks at upstreams whose connections break. */
+export class UpstreamEnds {
+  private readonly looking = new Map<string, Promise<UpstreamEnd | undefined>>();
+
+  constructor(private readonly options: UpstreamEndsOptions) {}
+
+  /** A connection of the upstream broke. Resolves with its end, or with undefined if it hasn't ended. */
+  brokeOff(upstream: Pick<LocalUpstream, 'start' | 'address'>): Promise<UpstreamEnd | undefined> {
+    const { start } = upstream;
+    const known = this.looking.get(start);
+    if (known) return known;
+    const looked = this.look(upstream).finally(() => this.looking.delete(start));
+    this.looking.set(start, looked);
+    return looked;
+  }
+
+  private async look({
+    start,
+    address,
+  }: Pick<LocalUpstream, 'start' | 'address'>): Promise<UpstreamEnd | undefined> {
+    const { clock, running, onEnd } = this.options;
+    const interrupted = running.at(start).slice(-MOST_REQUESTS);
+    if (!(await refusesConnections(clock, address))) return undefined;
+    const end = { start, requests: interrupted.flatMap(requestOf) };
+    await onEnd(end);
+    return end;
+  }
+}
+
+function requestOf({ head, body }: RunningRequest): InterruptedRequest[] {
+  const { method, path } = head;
+  const fingerprint = fingerprintAt(head, body);
+  return fingerprint === undefined ? [] : [{ method, path, fingerprint }];
+}
+
+/** The fingerprint of a request that came from another daemon; undefined for a stream of which that one didn't tell it. */
+export function fingerprintAt(
+  head: RunningRequest['head'],
+  body: RunningRequest['body'],
+): string | undefined {
+  if (head.fingerprint !== '') return head.fingerprint;
+  return Buffer.isBuffer(body) ? fingerprintOf(head, body) : undefined;
+}
+
+/** Whether nothing listens there. An address that doesn't answer at all says nothing. */
+function refusesConnections(clock: Clock, address: string): Promise<boolean> {
+  const { ip, port } = splitAddress(address);
+  return new Promise(resolve => {
+    const socket = connect({ host: ip, port });
+    const settle = (refuses: boolean) => {
+      timer[Symbol.dispose]();
+      socket.destroy();
+      resolve(refuses);
+    };
+    const timer = clock.after(LOOK_TIMEOUT_MS, () => settle(false));
+    socket.on('connect', () => settle(false));
+    socket.on('error', ({ code }: NodeJS.ErrnoException) => settle(code === 'ECONNREFUSED'));
+  });
+}
--- a/packages/calls/src/upstreamSide.ts
+++ b/packages/calls/src/upstreamSide.ts
@@ -29,6 +29,7 @@
 import { RunningCall, type RunningCalls } from './runningCalls.js';
 import { type TryMemory } from './tryMemory.js';
 import { MisplacedAnswer, type UpstreamAnswer, type UpstreamConnections } from './upstreamConnections.js';
+import { type UpstreamEnd, type UpstreamEnds, fingerprintAt } from './upstreamEnds.js';
 import { type UpstreamDialect } from './upstreamDialect.js';
 
 /** How long a non-idempotent request may run on after its deadline, so that its outcome gets known, ms. */
@@ -43,8 +44,12 @@
   readonly costs: RouteCosts;
   readonly connections: UpstreamConnections;
   readonly isDraining: boolean;
-  /** Names this start of the upstream; empty if it doesn't tell. */
+  /** Names the upstream; empty if it doesn't tell. */
   readonly instanceId: string;
+  /** Names this start of it, in the whole fleet. */
+  readonly start: string;
+  /** ip:port */
+  readonly address: string;
   /** It takes no connections: it is out until it announces itself again. */
   readonly refusedConnection: () => void;
   /** Another instance answers at its address: it is gone. */
@@ -74,6 +79,7 @@
   readonly levelBelow: (route: CallRoute) => number;
   readonly tries: TryMemory;
   readonly running: RunningCalls;
+  readonly ends: UpstreamEnds;
   readonly journal: Journal;
 }
 
@@ -161,7 +167,10 @@
     });
     const limitMs = context.remainingMs + (route.idempotent ? 0 : GRACE_MS);
     const given = givenUp(clock, limitMs, route.idempotent ? signal : NEVER);
-    const call = new RunningCall(context, route, clock.now() + context.remainingMs, given.signal);
+    const { head, body } = work;
+    const deadlineAt = clock.now() + context.remainingMs;
+    const request = { head, body, start: upstream.start };
+    const call = new RunningCall(context, route, deadlineAt, given.signal, request);
     const entered = running.enter(call);
     const finish = () => {
       permit.release('failed');
@@ -179,7 +188,7 @@
       if (!answer.rest) finish();
       return answer.rest ? { ...answer, rest: this.finishing(work, call, answer.rest, finish) } : answer;
     } catch (error) {
-      const refusal = this.explain(error, given.signal, work);
+      const refusal = await this.explain(error, given.signal, work);
       finish();
       if (!route.idempotent) this.options.tries.ended(context.requestId, undefined);
       return answerOf(endOf(refusal, call.retryTokens, this.load(upstream, route, context)));
@@ -249,7 +258,7 @@
         yield part;
       }
     } catch (error) {
-      const refusal = this.explain(error, call.signal, work);
+      const refusal = await this.explain(error, call.signal, work);
       yield endOf(refusal, call.retryTokens, this.load(upstream, route, context));
     } finally {
       finish();
@@ -259,7 +268,8 @@
     }
   }
 
-  private explain(error: unknown, signal: CancelSignal, { context, route, upstream }: Work): Refusal {
+  private async explain(error: unknown, signal: CancelSignal, work: Work): Promise<Refusal> {
+    const { context, route, upstream } = work;
     const { code, message } = error as { code?: string; message?: string };
     if (NEVER_SENT.includes(code ?? '')) {
       if (!route.idempotent) this.options.tries.notDispatched(context.requestId);
@@ -271,13 +281,20 @@
     const result: ResultName = isGivenUp ? 'deadlinePassed' : 'upstreamBroke';
     const { journal } = this.options;
     journal.note(context.requestId, 'The upstream gave no whole answer.', { why: message ?? 'unknown' });
+    const isMisplaced = error instanceof MisplacedAnswer;
+    const end = isGivenUp || isMisplaced ? undefined : await this.options.ends.brokeOff(upstream);
+    if (end) this.noteEnd(context.requestId, end, work);
     journal.ended(context.requestId, true);
-    if (error instanceof MisplacedAnswer)
-      return refusalOf('upstreamBroke', error.message, { elsewhereHelps: true });
-    const text = isGivenUp
-      ? `The request was given up. ${String((signal.reason as Error).message)}`
-      : 'The upstream broke off.';
-    return refusalOf(result, text, { elsewhereHelps: !isGivenUp });
+    if (isGivenUp) return refusalOf(result, `The request was given up. ${(signal.reason as Error).message}`);
+    if (isMisplaced) return refusalOf(result, error.message, { elsewhereHelps: true });
+    const text = end ? 'The upstream ended.' : 'The upstream broke off.';
+    return refusalOf(result, text, { elsewhereHelps: true });
+  }
+
+  private noteEnd(requestId: string, { start, requests }: UpstreamEnd, { head, body }: Work): void {
+    const fingerprint = fingerprintAt(head, body) ?? 'unknown';
+    const facts = { start, running: requests.length, fingerprint };
+    this.options.journal.note(requestId, 'The upstream ended while it ran.', facts);
   }
 
   /** What the sender is told; only of fresh requests those that are dear hear a lower level than the queue's. */
--- a/packages/daemon/src/core.ts
+++ b/packages/daemon/src/core.ts
@@ -13,6 +13,8 @@
   RunningCalls,
   TryMemory,
   type UpstreamDialect,
+  type UpstreamEnd,
+  UpstreamEnds,
   UpstreamSide,
   type WorkTurns,
 } from '@cleatquay/calls';
@@ -36,6 +38,10 @@
 /** How long the level of a route's calls holds, ms: less than a round trip, after which there may be a new one. */
 const LEVEL_HOLDS_MS = 5;
 
+/** Requests that a line names of those that ran where an upstream ended. */
+const SHOWN_REQUESTS = 10;
+const ENDED = 'Upstreams: An upstream ended with requests running.';
+
 /** Where a daemon stands and listens for its peers. */
 export interface CorePlace {
   readonly ip: string;
@@ -149,6 +155,7 @@
       levelBelow: route => this.levelBelow(route),
       tries: this.tries,
       running: this.running,
+      ends: new UpstreamEnds({ clock, running: this.running, onEnd: end => this.upstreamEnded(end) }),
       journal: this.journal,
     });
     this.forwarder = new Forwarder({
@@ -190,6 +197,12 @@
     await this.upstreams[Symbol.asyncDispose]();
   }
 
+  private upstreamEnded({ start, requests }: UpstreamEnd): Promise<void> {
+    const shown = requests.slice(-SHOWN_REQUESTS);
+    this.options.log.warn({ part: 'upstreams', start, running: requests.length, requests: shown }, ENDED);
+    return Promise.resolve();
+  }
+
   private exchange(head: RequestHead, body: CallBody, signal: CancelSignal): Promise<CallAnswer> {
     const isToHome = head.context?.toHome === true;
     return isToHome ? this.options.atHome(head, body, signal) : this.upstreamSide.handle(head, body, signal);
--- a/packages/daemon/src/upstreams.ts
+++ b/packages/daemon/src/upstreams.ts
@@ -232,6 +232,8 @@
       costs: new RouteCosts(),
       connections: new UpstreamConnections(clock, address, allowed),
       instanceId,
+      start: this.startOf(announcement),
+      address,
       isDraining: this.isLeaving(announcement),
       drainedByOperator: false,
       refusedConnection: () => this.remove(upstream, 'It takes no connections'),
@@ -249,6 +251,12 @@
     this.changed();
   }
 
+  /** An upstream that doesn't name itself is told apart by its address, and by when it was first heard of. */
+  private startOf({ instanceId, born, address }: Announcement): string {
+    if (instanceId !== '') return `${instanceId}@${String(born)}`;
+    return `${address}@${String(this.options.clock.date().getTime())}`;
+  }
+
   /** A late announcement says nothing new; one that left stays so. */
   private renew(known: Announced, announcement: Announcement): void {
     if (announcement.sequence > 0 && announcement.sequence <= known.announcement.sequence) return;
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -8,6 +8,7 @@
   type PlatformUpstreamBehaviour,
   PlatformUpstreamStandin,
   type UpstreamCall,
+  type UpstreamEnd,
   type UpstreamFault,
 } from './platform/upstreamOfPlatform.js';
 export { LoopbackProxy, type ProxyMode } from './loopbackProxy.js';
--- a/packages/standins/src/platform/upstreamOfPlatform.ts
+++ b/packages/standins/src/platform/upstreamOfPlatform.ts
@@ -33,7 +33,9 @@
   /** Says that another instance has the address. */
   | 'other-instance'
   /** Resets the connection before it reads the request. */
-  | 'reset-first';
+  | 'reset-first'
+  /** Ends with all that it runs some time after it has begun the request, and starts again later as another instance. */
+  | 'end';
 
 /** A call that it makes while it runs a request. */
 export interface UpstreamCall {
@@ -48,7 +50,11 @@
   bytes: number;
   calls: readonly UpstreamCall[];
   /** Gives the fault of a request. */
-  fault: (requestId: string) => UpstreamFault;
+  fault: (requestId: string, path: string) => UpstreamFault;
+  /** How long a request that ends it runs before, ms. */
+  endsAfterMs: number;
+  /** How long it is away then, ms. */
+  awayMs: number;
 }
 
 /** One request that reached it. */
@@ -56,47 +62,65 @@
   readonly requestId: string;
   readonly path: string;
   readonly headers: IncomingMessage['headers'];
+  /** When it came, ms of `performance.now()`. */
+  readonly at: number;
   ran: boolean;
   ended: boolean;
 }
 
+/** One end of it, by a request that it ran. */
+export interface UpstreamEnd {
+  /** When it ended, ms of `performance.now()`. */
+  readonly at: number;
+  readonly requestId: string;
+}
+
 const DEFAULTS: PlatformUpstreamBehaviour = {
   slots: 20,
   workMs: 5,
   bytes: 200,
   calls: [],
   fault: () => 'none',
+  endsAfterMs: 55,
+  awayMs: 2500,
 };
 
 /** A running upstream. */
 export class PlatformUpstreamStandin implements AsyncDisposable {
   readonly behaviour: PlatformUpstreamBehaviour;
   readonly arrivals: Arrival[] = [];
-  private readonly server: Server;
+  /** Ends by requests that it ran. */
+  readonly ends: UpstreamEnd[] = [];
+  private server: Server;
   private readonly slots = new Slots(() => this.behaviour.slots);
   private readonly stopped = new AbortController();
   private isAnnouncing = false;
   private isLeaving = false;
   private sequence = 0;
   private calls = 0;
+  private heartbeatMs = 0;
+  private starts = 1;
   address = '';
 
   constructor(
-    readonly instanceId: string,
+    private readonly name: string,
     readonly service: string,
     /** ip:port at which its daemon takes announcements, and calls. */
     private readonly daemon: { readonly announcements: string; readonly callers: string },
     behaviour: Partial<PlatformUpstreamBehaviour> = {},
   ) {
     this.behaviour = { ...DEFAULTS, ...behaviour };
-    this.server = createServer({ keepAliveTimeout: 10_000 }, (request, response) => {
-      this.serve(request, response).catch(() => response.destroy());
-    });
+    this.server = this.makeServer();
+  }
+
+  /** Names this start of it. */
+  get instanceId(): string {
+    return this.starts === 1 ? this.name : `${this.name}-${String(this.starts)}`;
   }
 
   /** Listens; `announce` makes it known. */
-  async listen(): Promise<void> {
-    await new Promise<void>(resolve => this.server.listen(0, '127.0.0.1', resolve));
+  async listen(port = 0): Promise<void> {
+    await new Promise<void>(resolve => this.server.listen(port, '127.0.0.1', resolve));
     this.address = `127.0.0.1:${String((this.server.address() as AddressInfo).port)}`;
   }
 
@@ -126,6 +150,7 @@
   /** Announces itself again and again until it is disposed of. */
   keepAnnouncing(everyMs: number): void {
     this.isAnnouncing = true;
+    this.heartbeatMs = everyMs;
     const again = async (): Promise<void> => {
       while (!this.stopped.signal.aborted && this.isAnnouncing) {
         await this.announce().catch(() => 0);
@@ -140,6 +165,24 @@
     this.isAnnouncing = false;
   }
 
+  /** Ends as a process does: whatever is open is reset, and nothing listens. It starts again later, as another instance. */
+  async end(requestId = ''): Promise<void> {
+    if (!this.server.listening) return;
+    this.ends.push({ at: performance.now(), requestId });
+    this.isAnnouncing = false;
+    const { server } = this;
+    this.server = this.makeServer();
+    const closed = new Promise(resolve => server.close(resolve));
+    server.closeAllConnections();
+    await closed;
+    await sleep(this.behaviour.awayMs, undefined, { signal: this.stopped.signal }).catch(() => undefined);
+    if (this.stopped.signal.aborted) return;
+    this.starts++;
+    this.sequence = 0;
+    await this.listen(Number(this.address.split(':')[1]));
+    if (this.heartbeatMs > 0) this.keepAnnouncing(this.heartbeatMs);
+  }
+
   /** Says that it leaves. */
   leave(): Promise<number> {
     this.isLeaving = true;
@@ -151,6 +194,12 @@
     return this.arrivals.filter(arrival => arrival.requestId === requestId && arrival.ran).length;
   }
 
+  private makeServer(): Server {
+    return createServer({ keepAliveTimeout: 10_000 }, (request, response) => {
+      this.serve(request, response).catch(() => response.destroy());
+    });
+  }
+
   private async post(what: string, body: string): Promise<number> {
     const url = `http://${this.daemon.announcements}/cleatquay/instances/${this.instanceId}/${what}`;
     const answer = await fetch(url, {
@@ -165,33 +214,36 @@
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const requestId = String(request.headers['request-id'] ?? '');
     if (request.url === '/health')
-      return this.end(response, this.isLeaving ? 503 : 200, requestId, 'health', {
+      return this.write(response, this.isLeaving ? 503 : 200, requestId, 'health', {
         'Instance-Id': this.instanceId,
       });
     const arrival: Arrival = {
       requestId,
       path: request.url ?? '',
       headers: request.headers,
+      at: performance.now(),
       ran: false,
       ended: false,
     };
     this.arrivals.push(arrival);
-    const fault = this.behaviour.fault(requestId);
+    const fault = this.behaviour.fault(requestId, arrival.path);
     if (fault === 'reset-first') return void request.socket.resetAndDestroy();
-    if (fault === 'shed') return this.end(response, 503, requestId, 'full', { 'Not-Executed': '1' });
+    if (fault === 'shed') return this.write(response, 503, requestId, 'full', { 'Not-Executed': '1' });
     const expected = request.headers['expect-instance'];
     if (fault === 'other-instance' || (expected !== undefined && expected !== this.instanceId))
-      return this.end(response, 421, requestId, 'other');
+      return this.write(response, 421, requestId, 'other');
     const gone = new AbortController();
     response.on('close', () => gone.abort());
     if (!(await this.slots.take(gone.signal))) return;
     try {
       arrival.ran = true;
+      if (fault === 'end') setTimeout(() => void this.end(requestId), this.behaviour.endsAfterMs);
       for await (const chunk of request) void chunk;
+      if (fault === 'end') await sleep(2 * this.behaviour.endsAfterMs);
       await sleep(this.behaviour.workMs, undefined, { signal: gone.signal }).catch(() => undefined);
       const isWhole = await this.callOthers(requestId);
       arrival.ended = !gone.signal.aborted;
-      if (!isWhole) return this.end(response, 500, requestId, 'a call failed');
+      if (!isWhole) return this.write(response, 500, requestId, 'a call failed');
       this.answer(fault, request, response, requestId);
     } finally {
       this.slots.give();
@@ -224,14 +276,14 @@
       case 'garble':
         return void socket.end('these bytes are no answer\r\n\r\n');
       case 'answer-twice':
-        this.end(response, 200, requestId, text);
+        this.write(response, 200, requestId, text);
         return void setTimeout(() => socket.writable && socket.write(framed + text), 30);
       default:
-        return this.end(response, 200, requestId, text);
+        return this.write(response, 200, requestId, text);
     }
   }
 
-  private end(
+  private write(
     response: ServerResponse,
     status: number,
     requestId: string,
--- a/tests/headTemplates.spec.ts
+++ b/tests/headTemplates.spec.ts
@@ -16,6 +16,7 @@
   method: 'GET',
   path: '/leny950/2f',
   headers: 'Host\nhulo84.example\n',
+  fingerprint: '',
   context: {
     ...CALL_CONTEXT,
     requestId: '9c41d07be2a35f68.0.3',
--- a/tests/linkServer.spec.ts
+++ b/tests/linkServer.spec.ts
@@ -10,7 +10,7 @@
   call: 1,
   request: {
     ...NO_HEAD,
-    head: { context: CALL_CONTEXT, service: 's', method: 'GET', path: '/', headers: '' },
+    head: { context: CALL_CONTEXT, service: 's', method: 'GET', path: '/', headers: '', fingerprint: '' },
     body: Buffer.alloc(0),
     last: true,
   },
--- a/tests/platformExplain.spec.ts
+++ b/tests/platformExplain.spec.ts
@@ -54,6 +54,33 @@
     expect(text).to.match(/Refused or failed\. {2}code=4001 outcome=failed/);
   });
 
+  it('under which an upstream ended leads to its end, and to the same request under other ids', async () => {
+    const { upstream } = fleet.nodes[1]!;
+    upstream.behaviour.awayMs = 100;
+    upstream.behaviour.fault = (_id, path) => (path === '/deadly' ? 'end' : 'none');
+    await fleet.ask(0, { id: 'deadly-1', path: '/deadly' });
+    while ((await fleet.ask(0)).status !== 200) await new Promise(resolve => setTimeout(resolve, 20));
+    await fleet.ask(1, { id: 'deadly-2', path: '/deadly' });
+    const ended = /The upstream ended while it ran\. {2}start=(\S+) running=1 fingerprint=([\da-f]{16})/;
+    const [, firstStart, first] = ended.exec(explain('deadly-1'))!;
+    const [, secondStart, second] = ended.exec(explain('deadly-2'))!;
+    expect(second).to.equal(first);
+    expect(secondStart).to.not.equal(firstStart);
+    const line = fleet.logged.find(
+      ({ msg }) => msg === 'Upstreams: An upstream ended with requests running.',
+    );
+    expect(line).to.deep.include({
+      start: firstStart,
+      requests: [{ method: 'GET', path: '/deadly', fingerprint: first }],
+    });
+  });
+
+  it('whose answer was lost is not taken for one under which an upstream ended', async () => {
+    fleet.nodes[0]!.upstream.behaviour.fault = () => 'lose-answer';
+    await fleet.ask(1, { id: 'lost', host: 'confirm.example', method: 'POST' });
+    expect(explain('lost')).to.not.include('ended');
+  });
+
   it('whose answer came too late through a chain leads to the call that was slow', async () => {
     fleet.nodes[0]!.upstream.behaviour.workMs = 900;
     fleet.nodes[1]!.upstream.behaviour.calls = [{ host: 'confirm.example', path: '/slow' }];
--- a/tests/retryBudget.spec.ts
+++ b/tests/retryBudget.spec.ts
@@ -102,7 +102,14 @@
   }
 }
 
-const HEAD: RequestHead = { context: CALL_CONTEXT, service: 's', method: 'GET', path: '/', headers: '' };
+const HEAD: RequestHead = {
+  context: CALL_CONTEXT,
+  service: 's',
+  method: 'GET',
+  path: '/',
+  headers: '',
+  fingerprint: '',
+};
 const ROUTE: Route = {
   name: 's.run',
   service: 's',
