--- a/packages/clock/src/clock.ts
+++ b/packages/clock/src/clock.ts
@@ -1,5 +1,6 @@
 /** The clock interface and the one that reads the machine's time. */
 
+import { uptime } from 'node:os';
 import { type CancelSignal } from './cancellation.js';
 
 /** A timer that can be called off by disposing of it. */
@@ -24,14 +25,35 @@
 const COARSE_FROM_MS = 100;
 const COARSE_MS = 10;
 
+/** What a machine tells of time, each in milliseconds. */
+export interface TimeSources {
+  /** Never goes back. On most systems it stands still while the VM is suspended. */
+  readonly steady: () => number;
+  /** Time of day, Unix time: may be set forward or back. */
+  readonly date: () => number;
+  /** Since the VM was started, with the time for which it was suspended. */
+  readonly uptime: () => number;
+}
+
+/** Those of this machine. */
+export const MACHINE_TIME: TimeSources = {
+  steady: () => performance.now(),
+  date: () => Date.now(),
+  uptime: () => uptime() * MS_A_SECOND,
+};
+
+const MS_A_SECOND = 1000;
+
 /** The machine's clock. Timers don't keep the process alive; a task that sleeps does. */
 export class SystemClock implements Clock {
+  constructor(private readonly sources = MACHINE_TIME) {}
+
   now(): number {
-    return performance.now();
+    return this.sources.steady();
   }
 
   date(): Date {
-    return new Date();
+    return new Date(this.sources.date());
   }
 
   after(ms: number, action: () => void): Timer {
--- a/packages/clock/src/index.ts
+++ b/packages/clock/src/index.ts
@@ -1,5 +1,5 @@
 /** Time and randomness as interfaces, so that tests and long seeded runs can hand in their own. */
-export { type Clock, type Timer, SystemClock } from './clock.js';
+export { type Clock, MACHINE_TIME, SystemClock, type TimeSources, type Timer } from './clock.js';
 export { TimeLimit } from './timeLimit.js';
 export { ManualClock } from './manualClock.js';
 export { type Random, seededRandom } from './random.js';
