Serve the calls of a VM that was suspended

Callers saw: after their VM had been suspended for five seconds, 504 for every request that its daemon sent to another one, until one of the two was started again. Cause: frames carry when they were sent, by the sender's steady clock, so that what a cut held up isn't begun when nobody waits any more. That clock stands still while a VM is suspended, so that all later frames seemed to have left seconds earlier than they did; the comparison forgets at a thousandth of the time, 80 minutes for five seconds. Class: a difference of two clocks, one of which stood still. Change: SendTime counts each leap of the time of day ahead of the steady clock as time that went by. Why it holds: a leap that was none (the time of day was set forward) makes frames seem on time, never late, and the receiver compares anew from the next one on.

--- a/packages/calls/src/link.ts
+++ b/packages/calls/src/link.ts
@@ -1,5 +1,5 @@
 /** The calling end of a link: many calls to one peer over one long-lived connection. */
-import { type CancelSignal, type Clock } from '@cleatquay/clock';
+import { type CancelSignal, type Clock, SendTime } from '@cleatquay/clock';
 import {
   type AnswerPart,
   type ConfigurationAnswer,
@@ -75,7 +75,8 @@
       onFrame: frame => this.receive(frame),
       onEnd: why => this.fail(why),
     });
-    this.writer = new LinkWriter(items => this.stream.write({ items, sentAt: Math.ceil(clock.now()) }));
+    const sendTime = new SendTime(clock);
+    this.writer = new LinkWriter(items => this.stream.write({ items, sentAt: Math.ceil(sendTime.now()) }));
   }
 
   /** Resolves once the peer has answered: a frozen process lets connections in and then says nothing. */
--- a/packages/clock/src/index.ts
+++ b/packages/clock/src/index.ts
@@ -1,5 +1,6 @@
 /** Time and randomness as interfaces, so that tests and long seeded runs can hand in their own. */
 export { type Clock, MACHINE_TIME, SystemClock, type TimeSources, type Timer } from './clock.js';
+export { SendTime } from './sendTime.js';
 export { TimeLimit } from './timeLimit.js';
 export { ManualClock } from './manualClock.js';
 export { type Random, seededRandom } from './random.js';
