Send frames also after 50 days

Callers would have seen: a daemon that ends by itself at its first frame to a peer, 49.7 days after the start of its process. Cause: found by looking at what else rests on the clock that frames carry: milliseconds of the steady clock go into a field of 32 bits, and the codec refuses a greater number ("invalid uint32:", shown on the code as it was). Class: a counter that outgrows its field. Change: the field begins anew, and differences are taken without its turns.

--- a/packages/calls/src/frameDelays.ts
+++ b/packages/calls/src/frameDelays.ts
@@ -9,7 +9,7 @@
 
 /** Compares each frame with the fastest one. The clocks of the two ends needn't agree. */
 export class FrameDelays {
-  private fastest = Number.POSITIVE_INFINITY;
+  private fastest: number | undefined;
   private at = 0;
 
   constructor(private readonly clock: Clock) {}
@@ -19,8 +19,24 @@
     if (sentAt === 0) return 0;
     const now = this.clock.now();
     const took = now - sentAt;
-    this.fastest = Math.min(took, this.fastest + (now - this.at) * CLOCK_DRIFT);
+    const fastest = this.fastest ?? took;
+    const slower = withoutTurns(took - fastest);
+    const forgotten = Math.min(slower, (now - this.at) * CLOCK_DRIFT);
+    this.fastest = fastest + forgotten;
     this.at = now;
-    return took - this.fastest;
+    return slower - forgotten;
   }
 }
+
+/** Values of the field in which a frame tells when it was sent. They begin anew after 50 days. */
+const SENT_AT_VALUES = 2 ** 32;
+
+/** A time in ms as a frame tells it; never 0, which tells nothing. */
+export function sentAtOf(ms: number): number {
+  return Math.ceil(ms) % SENT_AT_VALUES || 1;
+}
+
+/** A difference of two such times, of which either may have begun anew. */
+function withoutTurns(ms: number): number {
+  return ms - Math.round(ms / SENT_AT_VALUES) * SENT_AT_VALUES;
+}
--- a/packages/calls/src/index.ts
+++ b/packages/calls/src/index.ts
@@ -21,6 +21,7 @@
   passedHeaders,
   passedRawHeaders,
 } from './headers.js';
+export { FrameDelays, sentAtOf } from './frameDelays.js';
 export { Home } from './home.js';
 export { type InnerHandlers, InnerServer } from './innerServer.js';
 export { type Decision, type DecisionSink, type Facts, Journal } from './journal.js';
--- a/packages/calls/src/link.ts
+++ b/packages/calls/src/link.ts
@@ -12,6 +12,7 @@
 import { type Socket } from 'node:net';
 import { HELD_BYTES } from './answers.js';
 import { type CallAnswer, type CallBody, answerOf, isLast } from './callHandler.js';
+import { sentAtOf } from './frameDelays.js';
 import { NO_HEAD, SentTemplates } from './headTemplates.js';
 import { LinkWriter, PartQueue, SendWindow } from './linkParts.js';
 import { LinkStream } from './linkStream.js';
@@ -76,7 +77,7 @@
       onEnd: why => this.fail(why),
     });
     const sendTime = new SendTime(clock);
-    this.writer = new LinkWriter(items => this.stream.write({ items, sentAt: Math.ceil(sendTime.now()) }));
+    this.writer = new LinkWriter(items => this.stream.write({ items, sentAt: sentAtOf(sendTime.now()) }));
   }
 
   /** Resolves once the peer has answered: a frozen process lets connections in and then says nothing. */
