Count the time for which a VM was suspended

Callers saw, on a VM that had been suspended: their requests given to upstreams with more time than they would wait, and their answers later than the route's timeout, by as much as the VM had slept. Cause: deadlines and timers rested on the steady clock, which stands still meanwhile. Class: a promise to others by a clock that only we go by. Change: Clock.now() goes on: a leap of the time of day that the uptime confirms is a sleep, one that it doesn't is somebody setting the time; an uptime that hasn't kept pace in its first second (a container's may be another machine's) is not trusted; timers that fell due go off at once. What concerns this VM alone (lag of the processor, silence of the upstream beside the daemon) counts by Clock.awake(), which stands still as before. Looked at besides: the retry budget's window, memories of tries and silence of peers last at most longer, or check for a stop of their own (link.ts, membership.ts).

--- a/packages/admission/src/processorPressure.ts
+++ b/packages/admission/src/processorPressure.ts
@@ -19,7 +19,7 @@
 export class ProcessorPressure implements Disposable {
   private share = 1;
   private lag = 0;
-  /** Clock time of the next sample, ms. */
+  /** Time of the next sample, ms; a VM that is suspended is not short of processor time. */
   private due = 0;
   private timer: Timer;
 
@@ -40,7 +40,7 @@
    * middle of a long turn of the event loop no timer has told of it yet.
    */
   get lagMs(): number {
-    return Math.max(this.lag, this.clock.now() - this.due);
+    return Math.max(this.lag, this.clock.awake() - this.due);
   }
 
   /** Whether they wait longer than they should. */
@@ -59,9 +59,9 @@
   }
 
   private schedule(): Timer {
-    this.due = this.clock.now() + SAMPLE_MS;
+    this.due = this.clock.awake() + SAMPLE_MS;
     return this.clock.after(SAMPLE_MS, () => {
-      this.lag = Math.max(0, this.clock.now() - this.due, this.waitMs());
+      this.lag = Math.max(0, this.clock.awake() - this.due, this.waitMs());
       this.share = this.isLagging ? Math.max(0, this.share - FALL) : Math.min(1, this.share + RISE);
       this.onSample(this.lag, this.isLagging);
       this.timer = this.schedule();
--- a/packages/clock/src/clock.ts
+++ b/packages/clock/src/clock.ts
@@ -8,8 +8,10 @@
 
 /** Source of time for everything that waits or measures. */
 export interface Clock {
-  /** Monotonic time in milliseconds; only differences mean anything. */
+  /** Monotonic time in milliseconds, which goes on while the VM is suspended; only differences mean anything. */
   now(): number;
+  /** The same for which the VM was awake: how long this process, and whatever else runs on the VM, has had to do something. */
+  awake(): number;
   /** Calendar time. */
   date(): Date;
   /** Runs `action` once, `ms` milliseconds from now. */
@@ -44,11 +46,52 @@
 
 const MS_A_SECOND = 1000;
 
-/** The machine's clock. Timers don't keep the process alive; a task that sleeps does. */
+/** A leap of the time of day that is looked into, ms. */
+const LEAP_MS = 50;
+/** Two measures of one sleep agree so far, ms: an uptime is told in hundredths of a second. */
+const AGREE_MS = 100;
+/** An uptime is trusted once it has kept pace with the steady clock for so long, ms: in a container it may be that of another machine. */
+const PACE_MS = 1000;
+
+/** A timer that has not gone off. */
+interface Waiting {
+  /** Time by which it should, by `now`, ms. */
+  readonly at: number;
+  readonly goOff: () => void;
+}
+
+/**
+ * The machine's clock. Timers don't keep the process alive; a task that sleeps does.
+ *
+ * `now` goes on while the VM is suspended, which the steady clocks of most systems don't: what is left of a caller's time, and how long
+ * something has been silent, are told to others and meant by their clocks. A sleep shows as a leap of the time of day that the uptime confirms;
+ * one that it doesn't is somebody setting the time. Timers that fell due in the sleep go off at once.
+ */
 export class SystemClock implements Clock {
-  constructor(private readonly sources = MACHINE_TIME) {}
+  private readonly waiting = new Set<Waiting>();
+  private readonly startedAt: number;
+  private suspendedMs = 0;
+  /** Time of day, and uptime, less the steady clock, as they were last looked at. */
+  private dateOffset: number;
+  private uptimeOffset: number;
+  private uptimeIs: 'new' | 'trusted' | 'strange' = 'new';
+
+  constructor(private readonly sources = MACHINE_TIME) {
+    this.startedAt = sources.steady();
+    this.dateOffset = sources.date() - this.startedAt;
+    this.uptimeOffset = sources.uptime() - this.startedAt;
+  }
 
   now(): number {
+    const { sources } = this;
+    const steady = sources.steady();
+    const dateOffset = sources.date() - steady;
+    if (Math.abs(dateOffset - this.dateOffset) > LEAP_MS) this.lookInto(dateOffset, steady);
+    else if (this.uptimeIs === 'new' && steady - this.startedAt > PACE_MS) this.checkPace(steady);
+    return steady + this.suspendedMs;
+  }
+
+  awake(): number {
     return this.sources.steady();
   }
 
@@ -57,19 +100,69 @@
   }
 
   after(ms: number, action: () => void): Timer {
-    const timeout = setTimeout(action, ms < COARSE_FROM_MS ? ms : Math.ceil(ms / COARSE_MS) * COARSE_MS);
+    const timeout = setTimeout(() => waiting.goOff(), coarse(ms));
     timeout.unref();
-    return { [Symbol.dispose]: () => clearTimeout(timeout) };
+    const waiting = this.wait(ms, timeout, action);
+    return { [Symbol.dispose]: () => this.callOff(waiting, timeout) };
   }
 
   sleep(ms: number, signal?: CancelSignal): Promise<void> {
-    return sleepOn(holdingTimer, ms, signal);
+    const after = (delayMs: number, action: () => void): Timer => {
+      const timeout = setTimeout(() => waiting.goOff(), delayMs);
+      const waiting = this.wait(delayMs, timeout, action);
+      return { [Symbol.dispose]: () => this.callOff(waiting, timeout) };
+    };
+    return sleepOn(after, ms, signal);
+  }
+
+  private wait(ms: number, timeout: NodeJS.Timeout, action: () => void): Waiting {
+    const waiting: Waiting = {
+      at: this.now() + ms,
+      goOff: () => {
+        this.callOff(waiting, timeout);
+        action();
+      },
+    };
+    this.waiting.add(waiting);
+    return waiting;
+  }
+
+  private callOff(waiting: Waiting, timeout: NodeJS.Timeout): void {
+    clearTimeout(timeout);
+    this.waiting.delete(waiting);
+  }
+
+  private lookInto(dateOffset: number, steady: number): void {
+    const leap = dateOffset - this.dateOffset;
+    const sleep = this.uptimeGained(steady);
+    this.dateOffset = dateOffset;
+    if (this.uptimeIs === 'strange' || leap < LEAP_MS || Math.abs(sleep - leap) > AGREE_MS) return;
+    this.suspendedMs += sleep;
+    setImmediate(() => this.catchUp());
+  }
+
+  /** How far the uptime has gone ahead of the steady clock since it was last looked at, ms. */
+  private uptimeGained(steady: number): number {
+    const offset = this.sources.uptime() - steady;
+    const gained = offset - this.uptimeOffset;
+    this.uptimeOffset = offset;
+    return gained;
+  }
+
+  private checkPace(steady: number): void {
+    this.uptimeIs = Math.abs(this.uptimeGained(steady)) < LEAP_MS ? 'trusted' : 'strange';
+  }
+
+  /** Timers that fell due while the VM was suspended. */
+  private catchUp(): void {
+    const now = this.now();
+    const due = [...this.waiting].filter(({ at }) => at <= now);
+    for (const { goOff } of due.sort((a, b) => a.at - b.at)) goOff();
   }
 }
 
-function holdingTimer(ms: number, action: () => void): Timer {
-  const timeout = setTimeout(action, ms);
-  return { [Symbol.dispose]: () => clearTimeout(timeout) };
+function coarse(ms: number): number {
+  return ms < COARSE_FROM_MS ? ms : Math.ceil(ms / COARSE_MS) * COARSE_MS;
 }
 
 /** The `sleep` of any clock, by its timers. */
--- a/packages/clock/src/manualClock.ts
+++ b/packages/clock/src/manualClock.ts
@@ -23,6 +23,10 @@
     return this.current;
   }
 
+  awake(): number {
+    return this.current;
+  }
+
   date(): Date {
     return new Date(this.start.getTime() + this.current);
   }
--- a/packages/daemon/src/upstreams.ts
+++ b/packages/daemon/src/upstreams.ts
@@ -16,6 +16,9 @@
  */
 const SILENT_HEARTBEATS = 2;
 
+/** A timer may go off so much early, ms. */
+const TIMER_MARGIN_MS = 2;
+
 const AnnouncementSchema = Type.Object(
   {
     service: Type.String({ minLength: 1 }),
@@ -290,12 +293,18 @@
     return Math.min(slots, bounds(service).slots ?? slots, connections);
   }
 
+  /** Its silence counts while the VM is awake: when that was suspended, so was the upstream. */
   private watch({ service, instanceId }: Announcement): Timer {
     const { clock, heartbeatMs } = this.options;
-    return clock.after(MISSED_HEARTBEATS * heartbeatMs, () => {
+    const end = clock.awake() + MISSED_HEARTBEATS * heartbeatMs;
+    const check = () => {
       const upstream = this.byService.get(service);
-      if (upstream?.announcement.instanceId === instanceId) this.remove(upstream, 'It fell silent');
-    });
+      if (upstream?.announcement.instanceId !== instanceId) return;
+      const leftMs = end - clock.awake();
+      if (leftMs > TIMER_MARGIN_MS) upstream.silence = clock.after(leftMs, check);
+      else this.remove(upstream, 'It fell silent');
+    };
+    return clock.after(MISSED_HEARTBEATS * heartbeatMs, check);
   }
 
   private remove(upstream: Announced, why: string): void {
--- a/tests/processorPressure.spec.ts
+++ b/tests/processorPressure.spec.ts
@@ -14,6 +14,7 @@
     manual = new ManualClock();
     const clock: Clock = {
       now: () => manual.now(),
+      awake: () => manual.awake(),
       date: () => manual.date(),
       sleep: (ms, signal) => manual.sleep(ms, signal),
       after: (ms, action) => manual.after(ms + lateMs, action),
