Keep what runs beside a request that ends upstreams from being held back with it

Cause: what failed where one upstream ended came again at the next one together with the culprit, before its daemon had heard of the first end; three such coincidences were enough. Change: of what one upstream has ended under at most four run side by side at another, and of what two have ended under one, beside no other suspect; word of an end goes out in the moment that it is known, and a request takes along what its sender knows of it. A verdict is told with what the request asks. Operators see and release with `cleatquay quarantine` and `release` (CQ6005), metrics, status, explain.

--- a/packages/calls/src/entry.ts
+++ b/packages/calls/src/entry.ts
@@ -333,5 +333,5 @@
 }
 
 function headOf({ service, method, path, headers }: CallerRequest, context: CallContext): RequestHead {
-  return { context, service, method, path, headers, fingerprint: '' };
+  return { context, service, method, path, headers, fingerprint: '', endedStarts: [] };
 }
--- a/packages/calls/src/forwarder.ts
+++ b/packages/calls/src/forwarder.ts
@@ -123,7 +123,7 @@
       });
       const result = await this.attempt({
         route,
-        head: { ...head, context: sent, fingerprint: named.knownFingerprint },
+        head: { ...head, context: sent, ...named.told(quarantine) },
         context: sent,
         candidate,
         body,
@@ -140,7 +140,7 @@
         outcome: last.refusal.outcome,
         why: last.refusal.message,
       });
-      if (last.refusal.endedStart !== '') quarantine.endedUnder(named.fingerprint, last.refusal.endedStart);
+      if (last.refusal.endedStart !== '') quarantine.endedUnder(named.suspect, last.refusal.endedStart);
       tried.add(candidate.address);
       if (signal.aborted || !body.isReplayable) return end(last.refusal);
       const { refusal } = last;
--- a/packages/calls/src/headTemplates.ts
+++ b/packages/calls/src/headTemplates.ts
@@ -42,6 +42,7 @@
         path: head.path,
         headers: '',
         fingerprint: head.fingerprint,
+        endedStarts: head.endedStarts,
         context: {
           ...context,
           route: '',
@@ -78,6 +79,7 @@
       path: head.path,
       headers,
       fingerprint: head.fingerprint,
+      endedStarts: head.endedStarts,
       context: { ...context, rootId, route, idempotent, originService, targetEpoch },
     };
   }
--- a/packages/calls/src/namedRequest.ts
+++ b/packages/calls/src/namedRequest.ts
@@ -1,8 +1,10 @@
 /** A request with the fingerprint that it is known by, which is made only when somebody needs it. */
-import { type Quarantine, fingerprintOf } from '@cleatquay/quarantine';
+import { type Quarantine, type SuspectRequest, fingerprintOf } from '@cleatquay/quarantine';
 import { type RequestHead } from '@cleatquay/protocol';
 import { type ReplayBody } from './replayBody.js';
 
+const UNNAMED = { fingerprint: '', endedStarts: [] };
+
 /** One request at the daemon where it entered, once the beginning of its body has been read. */
 export class NamedRequest {
   private made: string | undefined;
@@ -18,11 +20,19 @@
   }
 
   /**
-   * What the next daemon is told of it: it makes that of a short body itself, and of a longer one it has only a stream. Empty for a short one
-   * whose fingerprint nobody has needed yet.
+   * What the next daemon is told of it. That one makes the fingerprint of a short body itself, if it needs it, and of a longer one it has only a
+   * stream. Word of an end may be on its way still when the request goes on to another upstream.
    */
-  get knownFingerprint(): string {
-    return this.made ?? (this.body.atHand ? '' : this.fingerprint);
+  told(quarantine: Quarantine): Pick<RequestHead, 'fingerprint' | 'endedStarts'> {
+    const isNamed = this.made !== undefined || !this.body.atHand;
+    if (!isNamed) return UNNAMED;
+    return { fingerprint: this.fingerprint, endedStarts: quarantine.startsUnder(this.fingerprint) };
+  }
+
+  /** As it is told where an upstream ended under it. */
+  get suspect(): SuspectRequest {
+    const { method, path } = this.head;
+    return { method, path, fingerprint: this.fingerprint };
   }
 
   /** An upstream gave a whole answer to it. */
--- a/packages/calls/src/upstreamSide.ts
+++ b/packages/calls/src/upstreamSide.ts
@@ -114,7 +114,7 @@
       return answerOf(endOf(refusal, context?.retryTokens ?? 0));
     }
     const call = { head, context, route, upstream, body, arrivedAt: this.options.clock.now() };
-    return this.mayEnd(call) ? this.serveAlone(call, signal) : this.serve(call, signal);
+    return this.mayEnd(call) ? this.serveApart(call, signal) : this.serve(call, signal);
   }
 
   /** Whether upstreams have ended under the call before. It is named only while some request is suspected. */
@@ -124,14 +124,16 @@
 
   private standingOf(head: RequestHead, body: CallBody): Standing {
     const { quarantine } = this.options;
+    for (const start of head.endedStarts) quarantine.endedUnder(head, start);
     const fingerprint = quarantine.isEmpty ? undefined : fingerprintAt(head, body);
     return fingerprint === undefined ? 'free' : quarantine.standingOf(fingerprint);
   }
 
-  /** Beside no other suspect; not at all once it is held back, also if its sender doesn't know that yet. */
-  private async serveAlone(call: Called, signal: CancelSignal): Promise<CallAnswer> {
+  /** Beside few other suspects, or none; not at all once it is held back, also if its sender doesn't know that yet. */
+  private async serveApart(call: Called, signal: CancelSignal): Promise<CallAnswer> {
     const { head, context, route, upstream, body } = call;
-    using place = await this.isolation.enter(upstream.start, signal);
+    const room = this.standingOf(head, body) === 'prime-suspect' ? 'all-places' : 'a-place';
+    using place = await this.isolation.enter(upstream.start, room, signal);
     void place;
     if (this.standingOf(head, body) === 'held') return answerOf(endOf(heldBack(), context.retryTokens));
     const gone = this.refuseEarly(context, route, this.options.upstream(head.service));
--- a/packages/cli/src/fleetCommands.ts
+++ b/packages/cli/src/fleetCommands.ts
@@ -1,6 +1,6 @@
 /** status, members, routes, dump, drain, undrain, explain, and waiting for a generation to be in force. */
 import { type Clock } from '@cleatquay/clock';
-import { Failure } from '@cleatquay/errors';
+import { Failure, type ResultName } from '@cleatquay/errors';
 import { request } from 'undici';
 import { table } from './output.js';
 
@@ -32,6 +32,18 @@
     load: { inFlight: number; queued: number; limit: number; admissionLevel: number };
   }[];
   readonly members: MemberStatus[];
+  readonly quarantine: HeldRequest[];
+}
+
+/** A request under which upstreams ended. */
+interface HeldRequest {
+  readonly fingerprint: string;
+  readonly isHeld: boolean;
+  /** Unix ms. */
+  readonly since: number;
+  readonly starts: readonly string[];
+  /** Method and path; empty if they aren't known. */
+  readonly asks: string;
 }
 
 /** Commands on running daemons, by one daemon's operator address. */
@@ -96,6 +108,26 @@
     return draining ? 'Draining: no new work goes to its upstreams.' : 'Back: its upstreams take new work.';
   }
 
+  /** The requests that are held back or were released, as the daemon knows them. */
+  async quarantine(): Promise<string> {
+    const { quarantine } = await ask<DaemonStatus>(this.daemon, 'GET', '/status');
+    if (quarantine.length === 0) return 'No request is held back.';
+    const rows = quarantine.map(({ fingerprint, isHeld, since, starts, asks }) => [
+      fingerprint,
+      isHeld ? 'held' : 'released',
+      new Date(since).toISOString(),
+      starts.length,
+      asks === '' ? '?' : asks,
+    ]);
+    return table(['fingerprint', 'state', 'since', 'ends', 'asks'], rows);
+  }
+
+  /** Lets a request run again that is held back. */
+  async release(fingerprint: string): Promise<string> {
+    await ask(this.daemon, 'POST', `/release/${encodeURIComponent(fingerprint)}`);
+    return `Released: ${fingerprint} may run again, on all daemons.`;
+  }
+
   /** What every daemon that took part decided about a request. */
   async explain(requestId: string): Promise<string> {
     const { members } = await ask<DaemonStatus>(this.daemon, 'GET', '/status');
@@ -167,11 +199,28 @@
 }
 
 async function ask<T>(operatorAddress: string, method: 'GET' | 'POST', path: string): Promise<T> {
+  const { status, text } = await answerOf(operatorAddress, method, path);
+  if (status === 200) return JSON.parse(text) as T;
+  const { result, message, field } = JSON.parse(text) as RefusedCommand;
+  throw new Failure(message, { result, field });
+}
+
+/** What a daemon says of a command that it doesn't carry out. */
+interface RefusedCommand {
+  readonly result: ResultName;
+  readonly message: string;
+  readonly field?: string;
+}
+
+async function answerOf(
+  operatorAddress: string,
+  method: 'GET' | 'POST',
+  path: string,
+): Promise<{ status: number; text: string }> {
   try {
     const signal = AbortSignal.timeout(TIMEOUT_MS);
     const answer = await request(`http://${operatorAddress}${path}`, { method, signal });
-    if (answer.statusCode !== 200) throw new Error(await answer.body.text());
-    return (await answer.body.json()) as T;
+    return { status: answer.statusCode, text: await answer.body.text() };
   } catch (error) {
     throw new Failure(`No answer from ${operatorAddress}.`, { result: 'daemonUnreachable', cause: error });
   }
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -151,6 +151,18 @@
     y => y,
     async a => print(await fleet(a).drain(false)),
   )
+  .command(
+    'quarantine',
+    'requests that are held back since upstreams ended under them',
+    y => y,
+    async a => print(await fleet(a).quarantine()),
+  )
+  .command(
+    'release <fingerprint>',
+    'let a request run again that is held back',
+    y => y.positional('fingerprint', { type: 'string', demandOption: true }),
+    async a => print(await fleet(a).release(a.fingerprint)),
+  )
   .command(
     'explain <requestId>',
     'what was decided about a request',
--- a/packages/daemon/src/core.ts
+++ b/packages/daemon/src/core.ts
@@ -119,7 +119,7 @@
       random,
       table: options.quarantineTable,
       service: options.service,
-      spread: finding => this.membership.spread(finding),
+      spread: (finding, isUrgent) => this.membership.spread(finding, isUrgent),
       log: (message, facts) => quarantineLog.warn(facts, `Quarantine: ${message}`),
     });
     this.membership = new Membership({
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -163,9 +163,13 @@
     this.scheduleEager();
   }
 
-  /** Tells the fleet what this daemon found out. */
-  spread(finding: Finding): void {
+  /**
+   * Tells the fleet what this daemon found out. Urgent news goes to a few members in this moment, and from there on at once: callers whose
+   * requests failed come again within some ms, at other daemons.
+   */
+  spread(finding: Finding, isUrgent = finding.kind !== 'ENDED_WELL'): void {
     this.findings.add(finding);
+    if (isUrgent) this.sendEagerly();
     this.scheduleEager();
   }
 
--- a/packages/quarantine/src/findings.ts
+++ b/packages/quarantine/src/findings.ts
@@ -7,22 +7,31 @@
 /** Starts of one finding, at most; further ones say nothing new. */
 const MOST_STARTS = 16;
 const LONGEST_START = 200;
+/** Characters of what a request asks. */
+const LONGEST_ASKS = 120;
 
 /** A finding about some requests and starts. */
 export function findingOf(
   kind: FindingKind,
   starts: readonly string[],
   fingerprints: readonly string[],
-  revision = 0,
+  more: { readonly revision?: number; readonly asks?: string } = {},
 ): Finding {
   const bytes = Buffer.concat(fingerprints.map(fingerprint => Buffer.from(fingerprint, 'hex')));
-  return { kind, starts: starts.slice(0, MOST_STARTS), fingerprints: bytes, revision };
+  const { revision = 0, asks = '' } = more;
+  return {
+    kind,
+    starts: starts.slice(0, MOST_STARTS),
+    fingerprints: bytes,
+    revision,
+    asks: asks.slice(0, LONGEST_ASKS),
+  };
 }
 
 /** A verdict as it is told. */
 export function findingOfVerdict(verdict: Verdict): Finding {
-  const { starts, fingerprint, revision } = verdict;
-  return findingOf(isHeld(verdict) ? 'HELD' : 'RELEASED', starts, [fingerprint], revision);
+  const { starts, fingerprint, revision, asks } = verdict;
+  return findingOf(isHeld(verdict) ? 'HELD' : 'RELEASED', starts, [fingerprint], { revision, asks });
 }
 
 /** The fingerprints that a finding is about. */
@@ -35,7 +44,8 @@
 }
 
 /** Whether a finding from a datagram can be taken. */
-export function isUsableFinding({ starts, fingerprints }: Finding): boolean {
+export function isUsableFinding({ starts, fingerprints, asks }: Finding): boolean {
   const isWhole = fingerprints.length > 0 && fingerprints.length % FINGERPRINT_BYTES === 0;
-  return isWhole && starts.length <= MOST_STARTS && starts.every(start => start.length <= LONGEST_START);
+  const isShort = starts.length <= MOST_STARTS && asks.length <= LONGEST_ASKS;
+  return isWhole && isShort && starts.every(start => start.length <= LONGEST_START);
 }
--- a/packages/quarantine/src/index.ts
+++ b/packages/quarantine/src/index.ts
@@ -2,7 +2,7 @@
 export { Evidence, type KnownEnd } from './evidence.js';
 export { type AskedHead, FINGERPRINT_DIGITS, fingerprintOf } from './fingerprint.js';
 export { findingOf, fingerprintsIn } from './findings.js';
-export { Isolation } from './isolation.js';
+export { Isolation, type Room } from './isolation.js';
 export { Quarantine, type QuarantineOptions, type Standing, type SuspectRequest } from './quarantine.js';
 export {
   type KeptEnd,
--- a/packages/quarantine/src/quarantine.ts
+++ b/packages/quarantine/src/quarantine.ts
@@ -3,8 +3,8 @@
  * have ended, and that has ended well nowhere, is held back everywhere until an operator releases it.
  *
  * A request that is held back without reason is refused until somebody notices, so that much speaks for it: it is cleared of an end as soon as it
- * ends well anywhere, or if it did of late; once an end is another's, nobody else is blamed for it; and what two upstreams have ended
- * under runs beside no other such request (`isolation.ts`).
+ * ends well anywhere, or if it did of late; once an end is another's, nobody else is blamed for it; and suspects run beside few others or none
+ * (`isolation.ts`).
  */
 import { type Clock, type Random, type Timer } from '@cleatquay/clock';
 import { type Finding } from '@cleatquay/protocol';
@@ -18,15 +18,15 @@
 
 /** Ends under one request after which it is held back. One may be chance, and two may be beside another's. */
 const TELLING_ENDS = 3;
-/** Ends under one request after which it runs beside no other such request. */
-const SUSPICIOUS_ENDS = 2;
+/** Ends under one request after which it runs beside no other suspect. */
+const INCRIMINATING_ENDS = 2;
 /** A verdict waits so long for what clears the request, ms: word of it takes two rounds of gossip. Until then it is held back all the same. */
 const JUDGED_AFTER_MS = 250;
 /** Requests of which it is remembered what they ask, for people. */
 const MOST_DESCRIBED = 500;
 
-/** Whether a request may run: as any other, beside no other suspect, or not at all. */
-export type Standing = 'free' | 'suspect' | 'held';
+/** Whether a request may run: as any other, beside few other suspects, beside none of them, or not at all. */
+export type Standing = 'free' | 'suspect' | 'prime-suspect' | 'held';
 
 /** A request that ran where an upstream ended. */
 export interface SuspectRequest extends Pick<AskedHead, 'method' | 'path'> {
@@ -41,7 +41,7 @@
   /** Service of the upstream beside this daemon. */
   readonly service: string;
   /** Tells all other daemons. */
-  readonly spread: (finding: Finding) => void;
+  readonly spread: (finding: Finding, isUrgent: boolean) => void;
   readonly log: (message: string, facts: object) => void;
 }
 
@@ -117,7 +117,8 @@
     if (this.verdicts.isHeld(fingerprint)) return 'held';
     const ends = this.evidence.startsUnder(fingerprint).length;
     if (ends >= TELLING_ENDS) return 'held';
-    return ends >= SUSPICIOUS_ENDS ? 'suspect' : 'free';
+    if (ends >= INCRIMINATING_ENDS) return 'prime-suspect';
+    return ends > 0 ? 'suspect' : 'free';
   }
 
   /** The upstream beside this daemon ended while these ran there. Resolves when what others know of them is known, or doesn't come soon. */
@@ -134,8 +135,14 @@
     await this.keeper.ended(start);
   }
 
+  /** Starts that ended while the request ran there, as far as is known here; for the daemon that it is sent to. */
+  startsUnder(fingerprint: string): string[] {
+    return this.evidence.startsUnder(fingerprint);
+  }
+
   /** A call that this daemon sent ran where an upstream ended; the daemon there may be gone before it can tell others. */
-  endedUnder(fingerprint: string, start: string): void {
+  endedUnder({ fingerprint, method, path }: SuspectRequest, start: string): void {
+    this.describe(fingerprint, `${method} ${path}`);
     this.tell(findingOf('ENDED', [start], [fingerprint]));
   }
 
@@ -148,7 +155,7 @@
   /** Takes what another daemon found out. Says whether it was news, which is then passed on. */
   heard(finding: Finding): boolean {
     if (!isUsableFinding(finding)) return false;
-    const { kind, starts, revision } = finding;
+    const { kind, starts, revision, asks } = finding;
     const fingerprints = fingerprintsIn(finding);
     switch (kind) {
       case 'ENDED':
@@ -163,7 +170,7 @@
           revision,
           starts,
           since,
-          asks: '',
+          asks,
         }));
         return verdicts.filter(verdict => this.take(verdict, 'another daemon')).length > 0;
       }
@@ -186,14 +193,14 @@
   }
 
   private tell(finding: Finding): void {
-    if (this.heard(finding)) this.options.spread(finding);
+    if (this.heard(finding)) this.options.spread(finding, finding.kind === 'ENDED');
   }
 
   private suspect(start: string, fingerprints: readonly string[]): boolean {
     const isNews = this.evidence.add(start, fingerprints);
     if (!isNews) return false;
     for (const answered of this.answers.among(fingerprints)) this.clear(answered);
-    this.judging ??= this.options.clock.after(JUDGED_AFTER_MS, () => this.judge());
+    this.judgeSoon(true);
     return true;
   }
 
@@ -209,24 +216,38 @@
     return isNews;
   }
 
-  private judge(): void {
+  /** Those daemons judge first that know what the request asks, so that all are told. */
+  private judge(mustBeDescribed = true): void {
     this.judging = undefined;
     // Two that ran beside each other each time can't be told apart: both are held back.
-    const told = this.evidence.under(TELLING_ENDS).map(fingerprint => ({
-      fingerprint,
-      starts: this.evidence.startsUnder(fingerprint),
-    }));
-    for (const { fingerprint, starts } of told) {
-      const known = this.verdicts.get(fingerprint);
-      if (known && isHeld(known)) continue;
-      const since = this.options.clock.date().getTime();
-      const revision = (known?.revision ?? 0) + 1;
-      this.tellVerdict({ fingerprint, revision, starts, since, asks: '' }, 'its ends');
-    }
+    const told = this.evidence
+      .under(TELLING_ENDS)
+      .filter(fingerprint => !this.verdicts.isHeld(fingerprint))
+      .map(fingerprint => ({ fingerprint, starts: this.evidence.startsUnder(fingerprint) }));
+    const isDescribed = ({ fingerprint }: { fingerprint: string }) => this.descriptions.has(fingerprint);
+    for (const one of told) if (!mustBeDescribed || isDescribed(one)) this.hold(one);
+    if (mustBeDescribed && !told.every(isDescribed)) this.judgeSoon(false);
+  }
+
+  private judgeSoon(mustBeDescribed: boolean): void {
+    this.judging ??= this.options.clock.after(JUDGED_AFTER_MS, () => this.judge(mustBeDescribed));
+  }
+
+  private hold({
+    fingerprint,
+    starts,
+  }: {
+    readonly fingerprint: string;
+    readonly starts: readonly string[];
+  }): void {
+    const revision = (this.verdicts.get(fingerprint)?.revision ?? 0) + 1;
+    const since = this.options.clock.date().getTime();
+    const asks = this.descriptions.get(fingerprint) ?? '';
+    this.tellVerdict({ fingerprint, revision, starts, since, asks }, 'its ends');
   }
 
   private tellVerdict(verdict: Verdict, from: 'its ends' | 'an operator'): void {
-    if (this.take(verdict, from)) this.options.spread(findingOfVerdict(verdict));
+    if (this.take(verdict, from)) this.options.spread(findingOfVerdict(verdict), true);
   }
 
   /** Those that saw ends of the request record its verdict. One that is released starts anew: the ends under it are its own no more. */
@@ -249,7 +270,7 @@
     for (const { start, fingerprints } of ends) this.evidence.add(start, fingerprints);
     for (const verdict of verdicts) {
       if (verdict.asks !== '') this.describe(verdict.fingerprint, verdict.asks);
-      if (this.take(verdict, 'the record')) this.options.spread(findingOfVerdict(verdict));
+      if (this.take(verdict, 'the record')) this.options.spread(findingOfVerdict(verdict), true);
     }
   }
 
--- a/tests/headTemplates.spec.ts
+++ b/tests/headTemplates.spec.ts
@@ -17,6 +17,7 @@
   path: '/leny950/2f',
   headers: 'Host\nhulo84.example\n',
   fingerprint: '',
+  endedStarts: [],
   context: {
     ...CALL_CONTEXT,
     requestId: '9c41d07be2a35f68.0.3',
@@ -42,6 +43,7 @@
       path: fc.constantFrom('/', '/x'),
       headers: fc.constantFrom('', 'Host\na\n', 'Host\nb\n'),
       fingerprint: fc.constantFrom('', '0123456789abcdef'),
+      endedStarts: fc.array(fc.constantFrom('a@1', 'b@1'), { maxLength: 2 }),
       context: fc.record({
         ...Object.fromEntries(
           Object.entries(CALL_CONTEXT).map(([name, value]) => [name, fc.constant(value)]),
--- a/tests/linkServer.spec.ts
+++ b/tests/linkServer.spec.ts
@@ -10,7 +10,15 @@
   call: 1,
   request: {
     ...NO_HEAD,
-    head: { context: CALL_CONTEXT, service: 's', method: 'GET', path: '/', headers: '', fingerprint: '' },
+    head: {
+      context: CALL_CONTEXT,
+      service: 's',
+      method: 'GET',
+      path: '/',
+      headers: '',
+      fingerprint: '',
+      endedStarts: [],
+    },
     body: Buffer.alloc(0),
     last: true,
   },
--- a/tests/quarantine.spec.ts
+++ b/tests/quarantine.spec.ts
@@ -1,5 +1,5 @@
-import { Cancellation, ManualClock } from '@cleatquay/clock';
-import { Evidence, Isolation, RecentAnswers, fingerprintOf } from '@cleatquay/quarantine';
+import { type CancelSignal, Cancellation, ManualClock } from '@cleatquay/clock';
+import { Evidence, Isolation, RecentAnswers, type Room, fingerprintOf } from '@cleatquay/quarantine';
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { QuarantineFleet } from './fixtures/quarantineFleet.js';
@@ -34,9 +34,9 @@
   describe('is held back everywhere', () => {
     it('once three have ended under it, each beside another daemon', async () => {
       await fleet.end(0, 'u0@1', [DEADLY, ...OTHERS]);
-      expect(fleet.standings(DEADLY)).to.deep.equal(all('free'));
-      await fleet.end(1, 'u1@1', [DEADLY]);
       expect(fleet.standings(DEADLY)).to.deep.equal(all('suspect'));
+      await fleet.end(1, 'u1@1', [DEADLY]);
+      expect(fleet.standings(DEADLY)).to.deep.equal(all('prime-suspect'));
       await fleet.end(2, 'u2@1', [DEADLY]);
       expect(fleet.standings(DEADLY)).to.deep.equal(all('held'));
     });
@@ -79,7 +79,7 @@
     it('when daemons tell of the same end again, or late', async () => {
       for (const at of [0, 1, 2, 3, 0]) await fleet.end(at, 'u0@1', [DEADLY]);
       await fleet.end(1, 'u1@1', [DEADLY]);
-      expect(fleet.standings(DEADLY)).to.deep.equal(all('suspect'));
+      expect(fleet.standings(DEADLY)).to.deep.equal(all('prime-suspect'));
     });
 
     it('when it ended well in between', async () => {
@@ -88,7 +88,7 @@
       answer(3, INNOCENT);
       await fleet.end(2, 'u2@1', [INNOCENT]);
       await fleet.pass(JUDGED_MS);
-      expect(fleet.standings(INNOCENT)).to.deep.equal(all('free'));
+      expect(fleet.standings(INNOCENT)).to.deep.equal(all('suspect'));
     });
 
     it('when it was answered just before many upstreams ended at once', async () => {
@@ -106,7 +106,7 @@
       await fleet.pass(JUDGED_MS);
       expect(fleet.standings(DEADLY)).to.deep.equal(all('held'));
       await fleet.end(3, 'u3@1', [INNOCENT]);
-      expect(fleet.standings(INNOCENT)).to.deep.equal(all('free'));
+      expect(fleet.standings(INNOCENT)).to.deep.equal(all('suspect'));
     });
 
     it('once an operator has released it, also after all daemons were killed', async () => {
@@ -178,34 +178,54 @@
 
 describe('suspects at one upstream', () => {
   const NEVER = new Cancellation().signal;
-  const order = async (entered: Promise<Disposable>, name: string, seen: string[]) => {
-    const place = await entered;
+  let isolation: Isolation;
+  let seen: string[];
+
+  beforeEach(() => {
+    isolation = new Isolation();
+    seen = [];
+  });
+
+  const enter = async (name: string, room: Room, { start = 'u', signal = NEVER as CancelSignal } = {}) => {
+    const place = await isolation.enter(start, room, signal);
     seen.push(name);
     return place;
   };
+  const settle = () => new Promise(resolve => setImmediate(resolve));
+
+  it('run four at a time, in the order in which they came', async () => {
+    const places = ['a', 'b', 'c', 'd', 'e'].map(name => enter(name, 'a-place'));
+    void enter('elsewhere', 'a-place', { start: 'v' });
+    await settle();
+    expect(seen).to.deep.equal(['a', 'b', 'c', 'd', 'elsewhere']);
+    (await places[1])![Symbol.dispose]();
+    await settle();
+    expect(seen.at(-1)).to.equal('e');
+  });
 
-  it('run one at a time, in the order in which they came', async () => {
-    const isolation = new Isolation();
-    const seen: string[] = [];
-    const first = await order(isolation.enter('u', NEVER), 'first', seen);
-    const second = order(isolation.enter('u', NEVER), 'second', seen);
-    const elsewhere = order(isolation.enter('v', NEVER), 'elsewhere', seen);
-    await elsewhere;
-    expect(seen).to.deep.equal(['first', 'elsewhere']);
+  it('run beside no other when two upstreams have ended under them', async () => {
+    const first = await enter('first', 'a-place');
+    const prime = enter('prime', 'all-places');
+    void enter('later', 'a-place');
+    await settle();
+    expect(seen).to.deep.equal(['first']);
     first[Symbol.dispose]();
-    await second;
-    expect(seen).to.deep.equal(['first', 'elsewhere', 'second']);
+    await settle();
+    expect(seen).to.deep.equal(['first', 'prime']);
+    (await prime)[Symbol.dispose]();
+    await settle();
+    expect(seen).to.deep.equal(['first', 'prime', 'later']);
   });
 
   it('that give up while they wait keep nobody waiting', async () => {
-    const isolation = new Isolation();
-    const first = await isolation.enter('u', NEVER);
+    const first = await enter('first', 'a-place');
     const gone = new Cancellation();
-    const second = isolation.enter('u', gone.signal);
-    const third = isolation.enter('u', NEVER);
+    const prime = enter('gone', 'all-places', { signal: gone.signal });
+    const later = enter('later', 'a-place');
     gone.abort(new Error('gone'));
-    (await second)[Symbol.dispose]();
+    (await prime)[Symbol.dispose]();
+    await later;
     first[Symbol.dispose]();
-    (await third)[Symbol.dispose]();
+    expect(seen).to.have.members(['first', 'gone', 'later']);
   });
 });
--- /dev/null
+++ b/tests/quarantineOperators.spec.ts
@@ -0,0 +1,84 @@
+import { expect } from 'chai';
+import { execFile } from 'node:child_process';
+import { PlatformFleet, routeTo } from './fixtures/platformFleet.js';
+
+const CLI = 'packages/cli/bin/cleatquay.js';
+const DEADLY = '/deadly';
+const TELLING_ENDS = 3;
+
+interface Ended {
+  readonly code: number;
+  readonly out: string;
+  readonly err: string;
+}
+
+describe('a request that is held back', () => {
+  let fleet: PlatformFleet;
+
+  beforeEach(async () => {
+    const vms = [{ service: 'history' }, { service: 'history' }, { service: 'history' }];
+    fleet = await PlatformFleet.start(vms, [routeTo('history')]);
+    for (const { upstream } of fleet.nodes) {
+      upstream.behaviour.awayMs = 100;
+      upstream.behaviour.fault = (_id, path) => (path === DEADLY ? 'end' : 'none');
+    }
+    while (ends() < TELLING_ENDS) await fleet.ask(0, { path: DEADLY });
+    await Promise.all(fleet.nodes.map((_node, i) => untilHeld(i)));
+    await untilServed();
+  });
+
+  afterEach(() => fleet[Symbol.asyncDispose]());
+
+  const ends = () => fleet.nodes.reduce((sum, { upstream }) => sum + upstream.ends.length, 0);
+  const untilServed = async () => {
+    while ((await fleet.ask(0)).status !== 200) await new Promise(resolve => setTimeout(resolve, 20));
+  };
+  const untilHeld = async (node: number) => {
+    const isHeld = /^cleatquay_held_requests 1$/m;
+    while (!isHeld.test(await metricsOf(node))) await new Promise(resolve => setTimeout(resolve, 20));
+  };
+  const metricsOf = async (node: number) => (await fetch(`http://${operators(node)}/metrics`)).text();
+  const operators = (node: number) => fleet.nodes[node]!.daemon.membership.me.operatorAddress;
+  const cleatquay = (...args: string[]) =>
+    new Promise<Ended>(resolve => {
+      execFile(process.execPath, [CLI, ...args, `--daemon=${operators(1)}`], (error, out, err) =>
+        resolve({ code: error ? Number(error.code) : 0, out, err }),
+      );
+    });
+  const heldFingerprint = async () => /^([\da-f]{16}) +held/m.exec((await cleatquay('quarantine')).out)?.[1];
+
+  it('is told that it has not run, and when to come back at the earliest', async () => {
+    const before = ends();
+    const { status, headers, text } = await fleet.ask(2, { path: DEADLY });
+    expect(status).to.equal(503);
+    expect(headers['retry-after']).to.equal('60.000');
+    expect(JSON.parse(text)).to.include({ code: 2013, outcome: 'not-run' });
+    expect(ends()).to.equal(before);
+  });
+
+  it('is shown to operators at every daemon, with what it asks, and in the metrics', async () => {
+    const { out } = await cleatquay('quarantine');
+    expect(out).to.match(/[\da-f]{16} +held +\S+Z +[3-6] +GET \/deadly/);
+    expect(await metricsOf(2)).to.match(/^cleatquay_held_requests 1$/m);
+  });
+
+  it('is explained by its last try', async () => {
+    await fleet.ask(0, { path: DEADLY, id: 'again' });
+    expect((await cleatquay('explain', 'again')).out).to.contain('Held back');
+  });
+
+  it('runs again everywhere once it is released', async () => {
+    for (const { upstream } of fleet.nodes) upstream.behaviour.fault = () => 'none';
+    const fingerprint = await heldFingerprint();
+    expect((await cleatquay('release', fingerprint!)).out).to.contain('Released');
+    while ((await fleet.ask(2, { path: DEADLY })).status !== 200)
+      await new Promise(resolve => setTimeout(resolve, 20));
+    expect((await cleatquay('quarantine')).out).to.contain('released');
+  });
+
+  it('is not released by a fingerprint that is not its own', async () => {
+    const { code, err } = await cleatquay('release', '0123456789abcdef');
+    expect(err).to.contain('CQ6005').and.to.contain('0123456789abcdef');
+    expect(code).to.equal(1);
+  });
+});
--- a/tests/queryOfDeath.spec.ts
+++ b/tests/queryOfDeath.spec.ts
@@ -27,6 +27,10 @@
 const PAUSE_MS = 1500;
 const LOAD_PAUSE_MS = 100;
 const DEADLY = '/deadly';
+/** Callers that ask all the time: some six of their requests run at each upstream. */
+const MANY_CALLERS = 36;
+const MANY_DEATHS = 12;
+const SHORT_PAUSE_MS = 300;
 /** Innocent requests beside it: of every five of them, four are served even while upstreams are away. */
 const SERVED_SHARE = 0.8;
 
@@ -108,6 +112,36 @@
     expect(others.slice(-20)).to.deep.equal(others.slice(-20).map(() => 200));
   });
 
+  it('is the only one held back, though dozens of others run beside it each time, and come again when they failed', async () => {
+    for (const { upstream } of fleet.nodes) upstream.behaviour.workMs = 150;
+    let isOver = false;
+    const statuses: number[] = [];
+    const askOwn = async (caller: number) => {
+      for (let i = 0; !isOver; i++) {
+        const path = `/own/${String(caller)}/${String(i)}`;
+        const ask = (attempt: string) =>
+          someNode().request({
+            host: 'history.example',
+            path,
+            id: `${attempt}-${String(caller)}-${String(i)}`,
+          });
+        const first = await ask('first');
+        statuses.push(first === 200 ? first : await ask('second'));
+      }
+    };
+    const callers = Array.from({ length: MANY_CALLERS }, (_, caller) => askOwn(caller));
+    for (let i = 0; i < MANY_DEATHS; i++) {
+      void askForDeath();
+      await sleep(SHORT_PAUSE_MS);
+    }
+    await sleep(KNOWN_EVERYWHERE_MS);
+    isOver = true;
+    await Promise.all(callers);
+    const [status] = await Promise.all(fleet.nodes.map(node => node.status()));
+    expect(status!.quarantine.map(({ asks }) => asks)).to.deep.equal([`GET ${DEADLY}`]);
+    expect(statuses.filter(s => s === 200).length / statuses.length).to.be.above(SERVED_SHARE);
+  });
+
   it('that may run only once and has a body is sent to no more either', async () => {
     const statuses = await repeatFor(20_000, { host: 'once.example', body: 'deadly' });
     expect(ends().length).to.be.at.least(TELLING_ENDS);
--- a/tests/retryBudget.spec.ts
+++ b/tests/retryBudget.spec.ts
@@ -111,6 +111,7 @@
   path: '/',
   headers: '',
   fingerprint: '',
+  endedStarts: [],
 };
 const ROUTE: Route = {
   name: 's.run',
