Find the end of an upstream also in a daemon that is behind

Callers would have seen: a request that ends upstreams sent on where daemons are short of processor time, since the ends were not noticed. Cause: the timer of the look goes off, in the turn of the event loop after a long one, before the refused connection is read. Class: a time-out that a late turn takes for silence. Change: after its time the look waits for the rest of the turn. Same cause elsewhere: health checks of recorded upstreams (0.5 s) and the limits of calls to the store are repeated anyway.

--- a/packages/calls/src/upstreamEnds.ts
+++ b/packages/calls/src/upstreamEnds.ts
@@ -88,7 +88,8 @@
       socket.destroy();
       resolve(refuses);
     };
-    const timer = clock.after(LOOK_TIMEOUT_MS, () => settle(false));
+    // In a process that is behind, the refusal may be waiting to be read in the turn in which the timer goes off.
+    const timer = clock.after(LOOK_TIMEOUT_MS, () => setImmediate(() => settle(false)));
     socket.on('connect', () => settle(false));
     socket.on('error', ({ code }: NodeJS.ErrnoException) => settle(code === 'ECONNREFUSED'));
   });
