Play requests that end upstreams among faults of daemons

Cause: verdicts have to come together while daemons stand still, start again, are rejected by the store or lose their connections to it, which no test did.

--- a/packages/standins/src/platform/upstreamOfPlatform.ts
+++ b/packages/standins/src/platform/upstreamOfPlatform.ts
@@ -153,7 +153,7 @@
     this.heartbeatMs = everyMs;
     const again = async (): Promise<void> => {
       while (!this.stopped.signal.aborted && this.isAnnouncing) {
-        await this.announce().catch(() => 0);
+        if (this.server.listening) await this.announce().catch(() => 0);
         await sleep(everyMs, undefined, { signal: this.stopped.signal }).catch(() => undefined);
       }
     };
--- a/tests/configurationSoak.spec.ts
+++ b/tests/configurationSoak.spec.ts
@@ -7,13 +7,9 @@
 import { digestOf } from '@cleatquay/configuration';
 import { decodeConfiguration } from '@cleatquay/platform';
 import { expect } from 'chai';
+import { FAULTS } from './fixtures/processFaults.js';
 import { type WrittenRoute, configurationText, routeTo } from './fixtures/platformFleet.js';
-import {
-  ProcessFleet,
-  type ProcessNode,
-  type ProcessStatus,
-  type ProcessVm,
-} from './fixtures/platformProcesses.js';
+import { ProcessFleet, type ProcessStatus, type ProcessVm } from './fixtures/platformProcesses.js';
 
 const ROUNDS = Number(process.env.CLEATQUAY_ROUNDS ?? 15);
 const SEED = process.env.CLEATQUAY_SEED ?? '1';
@@ -32,28 +28,6 @@
 }));
 const HOSTS = ['a', 'b', 'c'].map(name => `${name}.example`);
 
-/** Strikes a daemon, and gives what ends it. */
-type Fault = (node: ProcessNode) => () => Promise<void>;
-
-const FAULTS: Record<string, Fault> = {
-  stopped: node => {
-    node.signal('SIGSTOP');
-    return () => Promise.resolve(node.signal('SIGCONT'));
-  },
-  'started again': node => {
-    const restarted = node.restart();
-    return () => restarted;
-  },
-  rejected: node => {
-    node.proxy.reset();
-    return () => Promise.resolve(void (node.proxy.mode = 'pass'));
-  },
-  silent: node => {
-    node.proxy.silence();
-    return () => Promise.resolve();
-  },
-};
-
 describe('configurations among faults, on daemons as processes', () => {
   let fleet: ProcessFleet;
   let random: Random;
