Move figures and stories of tuning out of comments

Cause: comments say what a choice guards against; figures and how they were measured belong in commits and pages. Nothing is measured anew, no code is changed.

--- a/packages/admission/src/adaptiveLimit.ts
+++ b/packages/admission/src/adaptiveLimit.ts
@@ -8,8 +8,7 @@
 /**
  * Share of the announced slots that is always used. An upstream that sheds below that sheds for another reason than its
  * load, and gets no better by being given less. Answers to: an upstream that refuses a share of everything while all its
- * room is needed. With 12% refused at 1.29 times the room, chains served 0.60 in place of 0.42 with a share of 0.5
- * (chains.spec.ts).
+ * room is needed.
  */
 const SMALLEST_SHARE = 0.9;
 
--- a/packages/admission/src/fullLoad.ts
+++ b/packages/admission/src/fullLoad.ts
@@ -2,8 +2,7 @@
  * How many of its slots an upstream is worth. Some slow down when nearly all of them are in use, and run more requests a second with a few
  * left free. So it is tried: for a twentieth of the time the other number of slots is used, and the times of runs are compared.
  *
- * Answers to: a service that is too small for what is asked of it. An upstream of 20 slots that takes 1.3 times as long from 19 on ran 446 calls a
- * second with all of them (seen on a users' day). Of the most important requests of shortage.spec.ts 0.575 are served in place of 0.51.
+ * Answers to: a service that is too small for what is asked of it.
  */
 import { type Clock } from '@cleatquay/clock';
 
@@ -15,8 +14,8 @@
 /** It runs more a second with that share if it is slower by more than 1.11 when full; a twentieth above that, for noise. */
 const TELLING_FACTOR = 1.05 / SHARE_BELOW_FULL;
 /**
- * Weight of a run in the means, and runs of a route that tell: a mean then spreads by a twenty-fifth of what the times do. With a weight of 0.01
- * noise made one finding in eight wrong, and all slots were used then: 0.249 of all requests served in place of 0.254 (20 s of shortage.spec.ts).
+ * Weight of a run in the means, and runs of a route that tell: a mean then spreads by a twenty-fifth of what the times do, so that noise makes
+ * few findings wrong.
  */
 const WEIGHT = 0.003;
 const TELLING_RUNS = 100;
--- a/packages/admission/src/level.ts
+++ b/packages/admission/src/level.ts
@@ -7,9 +7,7 @@
  * Share of each less important class that stands beside the most important one, in the order of its places.
  *
  * Answers to: a service with too little room for the most important class alone. In a strict order all others get nothing, for as long as that
- * lasts: 0.236 of all requests served, and 0.003 of the most frequent kind; with an eighth 0.259, and 0.068 of that kind, at 0.50 in place of
- * 0.575 of the most important ones (shortage.spec.ts). With two such upstreams 0.92 of the most important ones in place of 0.98. Where there
- * is room for the most important class and that eighth, nothing changes.
+ * lasts. Where there is room for the most important class and that eighth, nothing changes.
  */
 const GUARANTEED_SHARE = 1 / 8;
 
@@ -45,7 +43,6 @@
  *
  * Answers to: more chains than the last service of a chain has room for. Its level is some 100 ms old where a chain
  * begins and falls and rises by a tenth meanwhile; a chain that was let in then met a closed door at its first call.
- * Chains lost after work at 1.29 times the room: 0.09 in place of 0.17; served 0.68 in place of 0.62 (chains.spec.ts).
  */
 export function sendingLevel(level: number, depth: number): number {
   return depth > 0 ? 0 : level;
--- a/packages/admission/src/processorPressure.ts
+++ b/packages/admission/src/processorPressure.ts
@@ -7,7 +7,7 @@
 
 /** How often the lag is measured, ms: half of the lag that is borne. Each sample wakes a process that has nothing else to do. */
 const SAMPLE_MS = 100;
-/** A lag up to this is borne, ms: daemons that have just started lag by 60 to 150 ms under a load that they carry. */
+/** A lag up to this is borne, ms: daemons that have just started lag by less under a load that they carry. */
 const HEALTHY_LAG_MS = 200;
 /** Share of the level's range by which it falls with each sample that lags, and rises with each that doesn't. */
 const FALL = 0.16;
--- a/packages/admission/src/routeCosts.ts
+++ b/packages/admission/src/routeCosts.ts
@@ -5,8 +5,6 @@
  * Answers to: an upstream at the end of many chains that also serves long requests of its own. A request's place among
  * those of its class is the fraction of its level. One of twice the mean work or more stands at the root of its place,
  * which is further back, but is admitted at least half as often as others: dear kinds are served less, and not shut out.
- * Of the less important requests at 1.29 times the room: chains 0.68 served in place of 0.62, long reads 0.53 in place of
- * 0.67 (chains.spec.ts).
  */
 
 /** Weight of a run in the means: some fifty runs tell. */
--- a/packages/calls/src/fleetRetryBudget.ts
+++ b/packages/calls/src/fleetRetryBudget.ts
@@ -14,9 +14,7 @@
 /**
  * Parts while more tries ask to be repeated than can be: for the first call of a request, and more for each call that was
  * made before. Answers to: a service that refuses a share of all its calls. A chain is lost with any of its calls, so that
- * repeats are worth most for its last ones. With 55% refused, two tries a call and 0.2 repeats a call, chains of four
- * served: 0.08 in place of 0.05 with a fixed part of 0.4 for all; with 12% refused, most important ones of eight calls 0.88 in
- * place of 0.69 (chains.spec.ts).
+ * repeats are worth most for its last ones.
  */
 const SCARCE_FIRST_PART = 0.2;
 const SCARCE_PART_A_CALL = 0.2;
--- a/packages/calls/src/headTemplates.ts
+++ b/packages/calls/src/headTemplates.ts
@@ -1,7 +1,6 @@
 /**
  * What the heads of many requests on a link have in common travels once: a template, which later heads name by its
- * number. Of a call's 146 bytes 60 are left (measured by headTemplates.spec.ts), which go between failure domains and
- * through the codec at both ends. The idea is that of HPACK's dynamic table (RFC 7541, section 2.3.2), without its eviction.
+ * number. Less than half of a call's bytes are left, which go between failure domains and through the codec at both ends. The idea is that of HPACK's dynamic table (RFC 7541, section 2.3.2), without its eviction.
  */
 import { type CallContext, type HeadTemplate, type RequestHead, type RequestPart } from '@cleatquay/protocol';
 
--- a/packages/calls/src/link.ts
+++ b/packages/calls/src/link.ts
@@ -26,7 +26,7 @@
 const SILENT_MS = 300;
 /**
  * A peer that has said nothing for so long, pings included, is out of contact, ms. Longer than the pauses of a busy
- * daemon (up to 0.5 s while it warms up, measured), shorter than most callers' targets.
+ * daemon that warms up, shorter than most callers' targets.
  */
 const LOST_MS = 900;
 
--- a/packages/calls/src/workTurns.ts
+++ b/packages/calls/src/workTurns.ts
@@ -9,9 +9,8 @@
 import { type Clock } from '@cleatquay/clock';
 
 /**
- * Time of a turn for beginning requests, ms. Some ten requests on a busy VM (2 ms each on half a core, measured), so that a turn stays far
- * below the 0.5 s after which work for a caller that left is in vain. Of 500 requests at once whose callers leave after 100 ms, 337 to 348 were
- * begun more than 250 ms later without the bound, none with it (departedCallers.spec.ts).
+ * Time of a turn for beginning requests, ms. Some ten requests on a busy VM, so that a turn stays far
+ * below the 0.5 s after which work for a caller that left is in vain.
  */
 const SLICE_MS = 20;
 
--- a/packages/clock/src/cancellation.ts
+++ b/packages/clock/src/cancellation.ts
@@ -1,6 +1,6 @@
 /**
  * Tells work that it is given up. Stands in for AbortController on the path of calls: a call has five of them, and
- * node's cost a twentieth of all processor time there (measured).
+ * node's cost a good part of its processor time.
  */
 
 /** What work watches. An AbortSignal is one, too. */
--- a/packages/clock/src/timeLimit.ts
+++ b/packages/clock/src/timeLimit.ts
@@ -3,8 +3,7 @@
 
 /**
  * Aborts when the time is up, or when `given` does. The timer holds the signal: node drops the timer of `AbortSignal.timeout` when garbage is
- * collected and only `AbortSignal.any` knows the signal (2 of 2 tries on node 20.20.2), and the call then waits for ever. With the two, 5 of 6 daemons
- * under load hadn't noticed after 14 s that all their connections to the platform were silent; with this one all 6 had after 6.2 s.
+ * collected and only `AbortSignal.any` knows the signal, and the call then waits for ever.
  */
 export class TimeLimit implements Disposable {
   private readonly controller = new AbortController();
--- a/packages/daemon/src/decisionLog.ts
+++ b/packages/daemon/src/decisionLog.ts
@@ -4,8 +4,7 @@
 import { type Logger } from 'pino';
 
 /**
- * Lines that a daemon writes of requests in one second, at most. A line costs some 20 µs of processor time (measured
- * with pino on a pipe), so that they take at most half a hundredth of a core.
+ * Lines that a daemon writes of requests in one second, at most: half a hundredth of a core.
  */
 const LINES_A_SECOND = 250;
 const SECOND_MS = 1000;
--- a/packages/daemon/src/readers.ts
+++ b/packages/daemon/src/readers.ts
@@ -11,9 +11,8 @@
 const READERS = 2;
 /**
  * Those that are next in order read in place of readers whose own reads fail: the platform may reject some daemons and serve others. Without them
- * a failure domain that is cut off from the others had a change a minute late. So many and no more, since an outage for all would
- * make every daemon ask in turn. While the reads of all of them fail, all of them try, since it may be others by now that are rejected: with only the
- * first two a change was 4.6 s late where the rejected ones changed each second (changesInForce.spec.ts).
+ * a failure domain that is cut off from the others hears of a change at the next look. So many and no more, since an outage for all would
+ * make every daemon ask in turn. While the reads of all of them fail, all of them try, since it may be others by now that are rejected.
  */
 const STAND_INS = 4;
 /** How long a reader has for a version that a peer has, before it asks the peer, ms. */
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -34,8 +34,8 @@
 /** A member that knows other verdicts is told all of ours at most so often, ms. */
 const TELL_AGAIN_MS = 500;
 /**
- * How often a daemon passes a piece of news on: at least so often, and so many times the binary logarithm of the fleet's size. Twice as often costs
- * four times the bytes at 194 daemons (1.06 to 1.47 MB for one change in place of 0.27, simulated), and tells at most one more of 193 in half a second.
+ * How often a daemon passes a piece of news on: at least so often, and so many times the binary logarithm of the fleet's size. More
+ * often costs far more bytes and reaches hardly anybody else.
  */
 const FEWEST_TRANSMISSIONS = 6;
 const TRANSMISSIONS = 0.75;
@@ -45,8 +45,7 @@
  */
 const MOST_MET = 16;
 /**
- * Of more than that, so many at random. If none of them answers, the table is read again within about a second. 194 daemons that start at once
- * send 13 MB in place of 217 in their first second, after which they know each other (simulated).
+ * Of more than that, so many at random. If none of them answers, the table is read again within about a second.
  */
 const MET_OF_MANY = 3;
 
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -10,7 +10,7 @@
 const SPILL_AT = 0.9;
 /**
  * A far upstream has to be less busy by so much of what it can run at once to be taken before a full near one: what is
- * known of how busy it is may be 0.2 s old. Other margins were not measured.
+ * known of how busy it is may be 0.2 s old.
  */
 const FAR_MARGIN = 0.25;
 const GRAY_FACTOR = 3;
@@ -106,8 +106,7 @@
    * work that needs it would be done in vain.
    *
    * Only those count that were heard of last, since that is where the calls go. Nothing is heard of an upstream far away as long as a near one
-   * is not busy; taken for open, it would hide that the way on from the near one is closed. With two services in between, 300 of 300 requests
-   * were let in of which none could be served (logged samples of a day).
+   * is not busy; taken for open, it would hide that the way on from the near one is closed.
    */
   levelFor(service: string, route: string): number {
     const inContact = this.subset(service).all.filter(
--- a/packages/settings/src/check.ts
+++ b/packages/settings/src/check.ts
@@ -18,7 +18,7 @@
 
 /** Returns a copy of `data` as the schema's type, with defaults filled in, or fails naming the first bad field. */
 export function check<T extends TSchema>(schema: T, data: unknown, result: ResultName): Static<T> {
-  // What fits is found without compiling the schema, which takes 20 ms each at the start of a process (measured).
+  // What fits is found without compiling the schema, which would delay the start of a process.
   const filled: unknown = Value.Default(schema, structuredClone(data));
   if (Value.Check(schema, filled)) return filled;
   return explain(schema, data, result);
