Bound what the quarantine records, and say at both ends that a request is held back

Cause: found by reading the diff: 500 verdicts and 30 ends would not have fitted into a row, a path of 16 KiB would have been kept whole, and ends older than an hour were taken from a row. Change: 120 verdicts of at most 100 characters and four starts, 20 ends; released ones make room; the daemon beside the upstream explains its refusal.

--- a/packages/calls/src/upstreamSide.ts
+++ b/packages/calls/src/upstreamSide.ts
@@ -113,33 +113,38 @@
       const refusal = early ?? refusalOf('innerMessageInvalid', 'The call has no context.');
       return answerOf(endOf(refusal, context?.retryTokens ?? 0));
     }
-    const call = { head, context, route, upstream, body, arrivedAt: this.options.clock.now() };
-    return this.mayEnd(call) ? this.serveApart(call, signal) : this.serve(call, signal);
-  }
-
-  /** Whether upstreams have ended under the call before. It is named only while some request is suspected. */
-  private mayEnd({ head, body }: Called): boolean {
-    return this.standingOf(head, body) !== 'free';
+    const { quarantine, clock } = this.options;
+    for (const start of head.endedStarts) quarantine.endedUnder(head, start);
+    const call = { head, context, route, upstream, body, arrivedAt: clock.now() };
+    const isFree = this.standingOf(call) === 'free';
+    return isFree ? this.serve(call, signal) : this.serveApart(call, signal);
   }
 
-  private standingOf(head: RequestHead, body: CallBody): Standing {
+  /** A call is named only while some request is suspected. */
+  private standingOf({ head, body }: Called): Standing {
     const { quarantine } = this.options;
-    for (const start of head.endedStarts) quarantine.endedUnder(head, start);
     const fingerprint = quarantine.isEmpty ? undefined : fingerprintAt(head, body);
     return fingerprint === undefined ? 'free' : quarantine.standingOf(fingerprint);
   }
 
   /** Beside few other suspects, or none; not at all once it is held back, also if its sender doesn't know that yet. */
   private async serveApart(call: Called, signal: CancelSignal): Promise<CallAnswer> {
-    const { head, context, route, upstream, body } = call;
-    const room = this.standingOf(head, body) === 'prime-suspect' ? 'all-places' : 'a-place';
+    const { head, context, route, upstream } = call;
+    const room = this.standingOf(call) === 'prime-suspect' ? 'all-places' : 'a-place';
     using place = await this.isolation.enter(upstream.start, room, signal);
     void place;
-    if (this.standingOf(head, body) === 'held') return answerOf(endOf(heldBack(), context.retryTokens));
+    if (this.standingOf(call) === 'held') return this.refuseHeld(context);
     const gone = this.refuseEarly(context, route, this.options.upstream(head.service));
     return gone ? answerOf(endOf(gone, context.retryTokens)) : await this.serve(call, signal);
   }
 
+  private refuseHeld({ requestId, retryTokens }: CallContext): CallAnswer {
+    const { journal } = this.options;
+    journal.note(requestId, 'Held back beside the upstream: others ended while they ran it.');
+    journal.ended(requestId, true);
+    return answerOf(endOf(heldBack(), retryTokens));
+  }
+
   private async serve(call: Called, signal: CancelSignal): Promise<CallAnswer> {
     const { head, context, route, upstream, body, arrivedAt } = call;
     const { clock } = this.options;
--- a/packages/daemon/src/core.ts
+++ b/packages/daemon/src/core.ts
@@ -119,7 +119,7 @@
       random,
       table: options.quarantineTable,
       service: options.service,
-      spread: (finding, isUrgent) => this.membership.spread(finding, isUrgent),
+      spread: finding => this.membership.spread(finding),
       log: (message, facts) => quarantineLog.warn(facts, `Quarantine: ${message}`),
     });
     this.membership = new Membership({
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -163,12 +163,12 @@
   }
 
   /**
-   * Tells the fleet what this daemon found out. Urgent news goes to a few members in this moment, and from there on at once: callers whose
-   * requests failed come again within some ms, at other daemons.
+   * Tells the fleet what this daemon found out. What speaks against a request goes to a few members in this moment, and from there on at once:
+   * callers whose requests failed come again within some ms, at other daemons.
    */
-  spread(finding: Finding, isUrgent = finding.kind !== 'ENDED_WELL'): void {
+  spread(finding: Finding): void {
     this.findings.add(finding);
-    if (isUrgent) this.sendEagerly();
+    if (finding.kind !== 'ENDED_WELL') this.sendEagerly();
     this.scheduleEager();
   }
 
--- a/packages/quarantine/src/findings.ts
+++ b/packages/quarantine/src/findings.ts
@@ -7,8 +7,8 @@
 /** Starts of one finding, at most; further ones say nothing new. */
 const MOST_STARTS = 16;
 const LONGEST_START = 200;
-/** Characters of what a request asks. */
-const LONGEST_ASKS = 120;
+/** Characters of what a request asks, as it is told. */
+export const LONGEST_ASKS = 100;
 
 /** A finding about some requests and starts. */
 export function findingOf(
--- a/packages/quarantine/src/quarantine.ts
+++ b/packages/quarantine/src/quarantine.ts
@@ -10,7 +10,7 @@
 import { type Finding } from '@cleatquay/protocol';
 import { Evidence } from './evidence.js';
 import { type AskedHead } from './fingerprint.js';
-import { findingOf, findingOfVerdict, fingerprintsIn, isUsableFinding } from './findings.js';
+import { LONGEST_ASKS, findingOf, findingOfVerdict, fingerprintsIn, isUsableFinding } from './findings.js';
 import { type QuarantineRow, type QuarantineTable } from './quarantineTable.js';
 import { RecentAnswers } from './recentAnswers.js';
 import { RecordKeeper } from './recordKeeper.js';
@@ -24,6 +24,8 @@
 const JUDGED_AFTER_MS = 250;
 /** Requests of which it is remembered what they ask, for people. */
 const MOST_DESCRIBED = 500;
+/** Starts that a verdict names, of those that ended under its request. */
+const MOST_NAMED_STARTS = 4;
 
 /** Whether a request may run: as any other, beside few other suspects, beside none of them, or not at all. */
 export type Standing = 'free' | 'suspect' | 'prime-suspect' | 'held';
@@ -33,6 +35,12 @@
   readonly fingerprint: string;
 }
 
+/** A request under which so many upstreams ended that it is held back. */
+interface Convicted {
+  readonly fingerprint: string;
+  readonly starts: readonly string[];
+}
+
 /** What a quarantine needs of its daemon. */
 export interface QuarantineOptions {
   readonly clock: Clock;
@@ -41,7 +49,7 @@
   /** Service of the upstream beside this daemon. */
   readonly service: string;
   /** Tells all other daemons. */
-  readonly spread: (finding: Finding, isUrgent: boolean) => void;
+  readonly spread: (finding: Finding) => void;
   readonly log: (message: string, facts: object) => void;
 }
 
@@ -64,15 +72,7 @@
       table,
       service,
       log,
-      endsNow: starts => {
-        const at = clock.date().getTime();
-        return [...new Set(starts)].flatMap(start => ({
-          start,
-          fingerprints: [],
-          ...this.evidence.get(start),
-          at,
-        }));
-      },
+      endOf: start => this.evidence.get(start),
       verdicts: () => this.verdicts.all,
       onRow: row => this.takeRow(row),
     });
@@ -193,7 +193,7 @@
   }
 
   private tell(finding: Finding): void {
-    if (this.heard(finding)) this.options.spread(finding, finding.kind === 'ENDED');
+    if (this.heard(finding)) this.options.spread(finding);
   }
 
   private suspect(start: string, fingerprints: readonly string[]): boolean {
@@ -220,26 +220,20 @@
   private judge(mustBeDescribed = true): void {
     this.judging = undefined;
     // Two that ran beside each other each time can't be told apart: both are held back.
-    const told = this.evidence
+    const convicted: Convicted[] = this.evidence
       .under(TELLING_ENDS)
       .filter(fingerprint => !this.verdicts.isHeld(fingerprint))
       .map(fingerprint => ({ fingerprint, starts: this.evidence.startsUnder(fingerprint) }));
-    const isDescribed = ({ fingerprint }: { fingerprint: string }) => this.descriptions.has(fingerprint);
-    for (const one of told) if (!mustBeDescribed || isDescribed(one)) this.hold(one);
-    if (mustBeDescribed && !told.every(isDescribed)) this.judgeSoon(false);
+    const isDescribed = ({ fingerprint }: Convicted) => this.descriptions.has(fingerprint);
+    for (const one of convicted) if (!mustBeDescribed || isDescribed(one)) this.hold(one);
+    if (mustBeDescribed && !convicted.every(isDescribed)) this.judgeSoon(false);
   }
 
   private judgeSoon(mustBeDescribed: boolean): void {
     this.judging ??= this.options.clock.after(JUDGED_AFTER_MS, () => this.judge(mustBeDescribed));
   }
 
-  private hold({
-    fingerprint,
-    starts,
-  }: {
-    readonly fingerprint: string;
-    readonly starts: readonly string[];
-  }): void {
+  private hold({ fingerprint, starts }: Convicted): void {
     const revision = (this.verdicts.get(fingerprint)?.revision ?? 0) + 1;
     const since = this.options.clock.date().getTime();
     const asks = this.descriptions.get(fingerprint) ?? '';
@@ -247,7 +241,7 @@
   }
 
   private tellVerdict(verdict: Verdict, from: 'its ends' | 'an operator'): void {
-    if (this.take(verdict, from)) this.options.spread(findingOfVerdict(verdict), true);
+    if (this.take(verdict, from)) this.options.spread(findingOfVerdict(verdict));
   }
 
   /** Those that saw ends of the request record its verdict. One that is released starts anew: the ends under it are its own no more. */
@@ -257,7 +251,7 @@
   ): boolean {
     const { fingerprint, starts } = verdict;
     const asks = this.descriptions.get(fingerprint) ?? verdict.asks;
-    if (!this.verdicts.put({ ...verdict, asks })) return false;
+    if (!this.verdicts.put({ ...verdict, starts: starts.slice(0, MOST_NAMED_STARTS), asks })) return false;
     if (isHeld(verdict)) this.evidence.attribute(fingerprint, starts);
     else this.evidence.excuse(fingerprint, [...starts, ...this.evidence.startsUnder(fingerprint)]);
     const message = isHeld(verdict) ? 'A request is held back.' : 'A request is released.';
@@ -270,12 +264,12 @@
     for (const { start, fingerprints } of ends) this.evidence.add(start, fingerprints);
     for (const verdict of verdicts) {
       if (verdict.asks !== '') this.describe(verdict.fingerprint, verdict.asks);
-      if (this.take(verdict, 'the record')) this.options.spread(findingOfVerdict(verdict), true);
+      if (this.take(verdict, 'the record')) this.options.spread(findingOfVerdict(verdict));
     }
   }
 
   private describe(fingerprint: string, asks: string): void {
-    this.descriptions.set(fingerprint, asks);
+    this.descriptions.set(fingerprint, asks.slice(0, LONGEST_ASKS));
     const [oldest] = this.descriptions.keys();
     if (this.descriptions.size > MOST_DESCRIBED && oldest !== undefined) this.descriptions.delete(oldest);
   }
--- a/packages/quarantine/src/recordKeeper.ts
+++ b/packages/quarantine/src/recordKeeper.ts
@@ -4,12 +4,8 @@
  */
 import { type Clock, type Random, type Timer } from '@cleatquay/clock';
 import { asFailure } from '@cleatquay/errors';
-import {
-  type KeptEnd,
-  type ListedQuarantineRow,
-  type QuarantineRow,
-  type QuarantineTable,
-} from './quarantineTable.js';
+import { type ListedQuarantineRow, type QuarantineRow, type QuarantineTable } from './quarantineTable.js';
+import { type KnownEnd } from './evidence.js';
 import { type Verdict } from './verdicts.js';
 
 /** Requests wait so long from the start of the daemon for the first rows, ms: some ten times what they take on a calm platform. */
@@ -25,8 +21,8 @@
 /** Pause after a write that failed, ms: an outage of the platform is nothing to ask about. */
 const WRITE_FAILED_MS = 5000;
 const WRITE_TRIES = 3;
-/** Ends of a row, at most; the oldest make room. With 64 requests each they take half of the 64 KiB that a row may have. */
-const MOST_KEPT_ENDS = 30;
+/** Ends of a row, at most; the oldest make room. With 64 requests each they take less than half of the 64 KiB that a row may have. */
+const MOST_KEPT_ENDS = 20;
 /** How long an end is kept in a row, ms by the time of day of whoever writes. */
 const KEPT_MS = 3_600_000;
 
@@ -37,8 +33,8 @@
   readonly table: QuarantineTable;
   /** Service of the upstream beside this daemon, whose row it writes. */
   readonly service: string;
-  /** What this daemon knows now of ends that are or were in the row, or that it saw itself. */
-  readonly endsNow: (starts: readonly string[]) => readonly KeptEnd[];
+  /** What this daemon knows now of an end. */
+  readonly endOf: (start: string) => KnownEnd | undefined;
   readonly verdicts: () => readonly Verdict[];
   /** Told what a row holds. */
   readonly onRow: (row: QuarantineRow) => void;
@@ -76,6 +72,8 @@
   async ended(start: string): Promise<void> {
     const { clock } = this.options;
     this.ownStarts.add(start);
+    const [first] = this.ownStarts;
+    if (this.ownStarts.size > MOST_KEPT_ENDS && first !== undefined) this.ownStarts.delete(first);
     this.writeAfter(WRITE_AFTER_MS);
     await Promise.race([this.look(), clock.sleep(CONSULTED_MS, this.stopped.signal)]);
   }
@@ -117,10 +115,11 @@
   }
 
   private take(rows: readonly ListedQuarantineRow[]): void {
-    const { service, onRow } = this.options;
+    const { clock, service, onRow } = this.options;
     const own = rows.find(row => row.service === service);
     this.version = own?.version ?? 0;
-    for (const row of rows) onRow(row);
+    const oldest = clock.date().getTime() - KEPT_MS;
+    for (const row of rows) onRow({ ...row, ends: row.ends.filter(({ at }) => at > oldest) });
     this.remember(own);
   }
 
@@ -146,11 +145,13 @@
   }
 
   private row(): QuarantineRow {
-    const { endsNow, verdicts, clock } = this.options;
+    const { endOf, verdicts, clock } = this.options;
     const now = clock.date().getTime();
-    const ends = endsNow([...this.ages.keys(), ...this.ownStarts])
-      .map(end => ({ ...end, at: this.ages.get(end.start) ?? end.at }))
-      .filter(({ at, fingerprints }) => fingerprints.length > 0 && Math.abs(now - at) < KEPT_MS)
+    const ends = [...new Set([...this.ages.keys(), ...this.ownStarts])]
+      .flatMap(start => endOf(start) ?? [])
+      .filter(({ fingerprints }) => fingerprints.length > 0)
+      .map(end => ({ ...end, at: this.ages.get(end.start) ?? now }))
+      .filter(({ at }) => Math.abs(now - at) < KEPT_MS)
       .sort((a, b) => a.at - b.at)
       .slice(-MOST_KEPT_ENDS);
     return { ends, verdicts: verdicts() };
--- a/packages/quarantine/src/verdicts.ts
+++ b/packages/quarantine/src/verdicts.ts
@@ -4,8 +4,11 @@
  */
 import { crc32 } from 'node:zlib';
 
-/** Verdicts that are kept: each takes several ends of upstreams, so that nobody fills the memory with names. */
-const MOST_VERDICTS = 500;
+/**
+ * Verdicts that are kept: each takes several ends of upstreams, so that nobody fills the memory with names. They take up to half of the 64 KiB of a
+ * row.
+ */
+const MOST_VERDICTS = 120;
 
 /** What is known of one request. */
 export interface Verdict {
@@ -58,7 +61,7 @@
   put(verdict: Verdict): boolean {
     const known = this.known.get(verdict.fingerprint);
     if (known && known.revision >= verdict.revision) return this.describe(known, verdict);
-    if (!known && this.known.size >= MOST_VERDICTS) return false;
+    if (!known && this.known.size >= MOST_VERDICTS && !this.makeRoom()) return false;
     this.toggle(known);
     this.toggle(verdict);
     const asks = verdict.asks === '' ? (known?.asks ?? '') : verdict.asks;
@@ -67,6 +70,15 @@
     return true;
   }
 
+  /** Forgets a request that was released: the same at all daemons, as they know the same. */
+  private makeRoom(): boolean {
+    const released = this.all.filter(verdict => !isHeld(verdict)).map(({ fingerprint }) => fingerprint);
+    const [first] = released.sort();
+    if (first === undefined) return false;
+    this.toggle(this.known.get(first));
+    return this.known.delete(first);
+  }
+
   /** A verdict that was heard from another daemon doesn't say what its request asks; the record does. */
   private describe(known: Verdict, { revision, asks }: Verdict): false {
     if (known.revision === revision && known.asks === '')
--- a/tests/quarantine.spec.ts
+++ b/tests/quarantine.spec.ts
@@ -1,5 +1,12 @@
 import { type CancelSignal, Cancellation, ManualClock } from '@cleatquay/clock';
-import { Evidence, Isolation, RecentAnswers, type Room, fingerprintOf } from '@cleatquay/quarantine';
+import {
+  Evidence,
+  Isolation,
+  RecentAnswers,
+  type Room,
+  Verdicts,
+  fingerprintOf,
+} from '@cleatquay/quarantine';
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { QuarantineFleet } from './fixtures/quarantineFleet.js';
@@ -229,3 +236,32 @@
     expect(seen).to.have.members(['first', 'gone', 'later']);
   });
 });
+
+describe('verdicts', () => {
+  const verdict = (i: number, revision = 1) => ({
+    fingerprint: i.toString(16).padStart(16, '0'),
+    revision,
+    starts: [],
+    since: 0,
+    asks: '',
+  });
+
+  it('are bounded: those that were released make room, those that hold don’t', () => {
+    const verdicts = new Verdicts();
+    for (let i = 0; i < 200; i++) verdicts.put(verdict(i));
+    expect(verdicts.held).to.equal(120);
+    verdicts.put(verdict(7, 2));
+    expect(verdicts.put(verdict(1000))).to.equal(true);
+    expect(verdicts.get(verdict(7).fingerprint)).to.equal(undefined);
+    expect(verdicts.held).to.equal(120);
+  });
+
+  it('come to the same whatever is heard first, and are told apart by their digest', () => {
+    const [one, other] = [new Verdicts(), new Verdicts()];
+    for (const revision of [1, 3, 2]) one.put(verdict(1, revision));
+    for (const revision of [2, 3, 1]) other.put(verdict(1, revision));
+    expect(one.digest).to.equal(other.digest).and.not.equal(0);
+    other.put(verdict(1, 4));
+    expect(one.digest).to.not.equal(other.digest);
+  });
+});
