Tell a sender not to send a request on that is known to end upstreams

Cause: by reading: a daemon that learns from the record, at the end of its upstream, that a request is held back told only that another upstream helps, and left it to gossip to be faster than the next try. Change: it says that nothing helps.

--- a/packages/calls/src/upstreamSide.ts
+++ b/packages/calls/src/upstreamSide.ts
@@ -121,7 +121,7 @@
   }
 
   /** A call is named only while some request is suspected. */
-  private standingOf({ head, body }: Called): Standing {
+  private standingOf({ head, body }: Pick<Called, 'head' | 'body'>): Standing {
     const { quarantine } = this.options;
     const fingerprint = quarantine.isEmpty ? undefined : fingerprintAt(head, body);
     return fingerprint === undefined ? 'free' : quarantine.standingOf(fingerprint);
@@ -338,8 +338,9 @@
     if (isMisplaced) return refusalOf(result, error.message, { elsewhereHelps: true });
     if (!end) return refusalOf(result, 'The upstream broke off.', { elsewhereHelps: true });
     upstream.refusedConnection();
-    const more = { elsewhereHelps: true, endedStart: end.start };
-    return refusalOf('upstreamEnded', 'The upstream ended.', more);
+    // Its sender may not know yet what others have recorded of the request.
+    const elsewhereHelps = this.standingOf(work) !== 'held';
+    return refusalOf('upstreamEnded', 'The upstream ended.', { elsewhereHelps, endedStart: end.start });
   }
 
   private noteEnd(requestId: string, { start, requests }: UpstreamEnd, { head, body }: Work): void {
--- a/tests/quarantineOperators.spec.ts
+++ b/tests/quarantineOperators.spec.ts
@@ -1,3 +1,4 @@
+import { fingerprintOf } from '@cleatquay/quarantine';
 import { expect } from 'chai';
 import { execFile } from 'node:child_process';
 import { PlatformFleet, routeTo } from './fixtures/platformFleet.js';
@@ -82,3 +83,30 @@
     expect(code).to.equal(1);
   });
 });
+
+describe('a verdict that only the record has', () => {
+  let fleet: PlatformFleet;
+
+  beforeEach(async () => {
+    const vms = [{ service: 'history' }, { service: 'history' }, { service: 'history' }];
+    fleet = await PlatformFleet.start(vms, [routeTo('history')]);
+    for (const { upstream } of fleet.nodes)
+      upstream.behaviour.fault = (_id, path) => (path === DEADLY ? 'end' : 'none');
+  });
+
+  afterEach(() => fleet[Symbol.asyncDispose]());
+
+  it('stops the request at its first end: it is not sent to a second upstream', async () => {
+    const head = { method: 'GET', path: DEADLY, headers: 'host\nhistory.example\n' };
+    const verdict = {
+      fingerprint: fingerprintOf(head, Buffer.alloc(0)),
+      revision: 1,
+      starts: ['a@1', 'b@1', 'c@1'],
+      since: Date.now(),
+      asks: `GET ${DEADLY}`,
+    };
+    fleet.store.put('daemons', 'quarantine/history', JSON.stringify({ ends: [], verdicts: [verdict] }));
+    expect((await fleet.ask(0, { path: DEADLY })).status).to.equal(502);
+    expect(fleet.nodes.reduce((sum, { upstream }) => sum + upstream.ends.length, 0)).to.equal(1);
+  });
+});
