Judge a request some time after the last end under it, and let it come again soon until then

Cause: found by a new check: the timer of a verdict ran from the first end of a series, so that one could be spoken some ms after the third end, before word that clears the request; and a request that was held back for that moment only was told to stay away for a minute. Change: a verdict waits from the last end on; until it is spoken Retry-After is half a second.

--- a/packages/calls/src/forwarder.ts
+++ b/packages/calls/src/forwarder.ts
@@ -97,7 +97,8 @@
     let isRepeat = context.isRepeat;
     const end = (refusal: Refusal) => answerOf(endOf(asLastOf(refusal, mayHaveRun), tokens, last?.load));
     for (let number = context.try; ; number++) {
-      if (this.isHeldBack(context.requestId, named)) return end(last?.refusal ?? heldBack());
+      const held = this.refusalIfHeld(context.requestId, named);
+      if (held) return end(last?.refusal ?? held);
       const remainingMs = Math.floor(context.remainingMs - (clock.now() - start));
       const selection = router.choose(route.service, route.name, level, tried, levelToSend);
       if (selection.kind !== 'chosen' || remainingMs <= 0)
@@ -155,14 +156,14 @@
     }
   }
 
-  /** Whether upstreams have ended under the request. It is named only while some request is suspected. */
-  private isHeldBack(requestId: string, named: NamedRequest): boolean {
+  /** The refusal of a request under which upstreams have ended. It is named only while some request is suspected. */
+  private refusalIfHeld(requestId: string, named: NamedRequest): Refusal | undefined {
     const { quarantine, journal } = this.options;
-    if (quarantine.isEmpty) return false;
+    if (quarantine.isEmpty) return undefined;
     const { fingerprint } = named;
-    if (quarantine.standingOf(fingerprint) !== 'held') return false;
+    if (quarantine.standingOf(fingerprint) !== 'held') return undefined;
     journal.note(requestId, 'Held back: upstreams ended while they ran it.', { fingerprint });
-    return true;
+    return heldBack(quarantine.retryAfterMs(fingerprint));
   }
 
   /** One try: gives its answer, or why there is none. */
--- a/packages/calls/src/upstreamSide.ts
+++ b/packages/calls/src/upstreamSide.ts
@@ -133,16 +133,17 @@
     const room = this.standingOf(call) === 'prime-suspect' ? 'all-places' : 'a-place';
     using place = await this.isolation.enter(upstream.start, room, signal);
     void place;
-    if (this.standingOf(call) === 'held') return this.refuseHeld(context);
+    if (this.standingOf(call) === 'held') return this.refuseHeld(call);
     const gone = this.refuseEarly(context, route, this.options.upstream(head.service));
     return gone ? answerOf(endOf(gone, context.retryTokens)) : await this.serve(call, signal);
   }
 
-  private refuseHeld({ requestId, retryTokens }: CallContext): CallAnswer {
-    const { journal } = this.options;
+  private refuseHeld({ head, body, context: { requestId, retryTokens } }: Called): CallAnswer {
+    const { journal, quarantine } = this.options;
     journal.note(requestId, 'Held back beside the upstream: others ended while they ran it.');
     journal.ended(requestId, true);
-    return answerOf(endOf(heldBack(), retryTokens));
+    const retryAfterMs = quarantine.retryAfterMs(fingerprintAt(head, body) ?? '');
+    return answerOf(endOf(heldBack(retryAfterMs), retryTokens));
   }
 
   private async serve(call: Called, signal: CancelSignal): Promise<CallAnswer> {
--- a/packages/quarantine/src/evidence.ts
+++ b/packages/quarantine/src/evidence.ts
@@ -77,6 +77,11 @@
     return [...(this.startsOf.get(fingerprint) ?? [])];
   }
 
+  /** Clock time at which the latest of those ends was learned of, ms. */
+  lastEndUnder(fingerprint: string): number {
+    return Math.max(...this.startsUnder(fingerprint).map(start => this.ends.get(start)?.at ?? 0));
+  }
+
   /** Requests under which so many starts ended or more. */
   under(ends: number): string[] {
     return [...this.startsOf].filter(([, starts]) => starts.size >= ends).map(([fingerprint]) => fingerprint);
--- a/packages/quarantine/src/quarantine.ts
+++ b/packages/quarantine/src/quarantine.ts
@@ -22,6 +22,9 @@
 const INCRIMINATING_ENDS = 2;
 /** A verdict waits so long for what clears the request, ms: word of it takes two rounds of gossip. Until then it is held back all the same. */
 const JUDGED_AFTER_MS = 250;
+/** A request that is held back may come again as often as it likes, and is told not to come soon, ms. */
+const HELD_RETRY_AFTER_MS = 60_000;
+const UNJUDGED_RETRY_AFTER_MS = 2 * JUDGED_AFTER_MS;
 /** Requests of which it is remembered what they ask, for people. */
 const MOST_DESCRIBED = 500;
 /** Starts that a verdict names, of those that ended under its request. */
@@ -121,6 +124,11 @@
     return ends > 0 ? 'suspect' : 'free';
   }
 
+  /** When a request that is held back may come again, ms: soon while there is no verdict, since it may be cleared. */
+  retryAfterMs(fingerprint: string): number {
+    return this.verdicts.isHeld(fingerprint) ? HELD_RETRY_AFTER_MS : UNJUDGED_RETRY_AFTER_MS;
+  }
+
   /** The upstream beside this daemon ended while these ran there. Resolves when what others know of them is known, or doesn't come soon. */
   async upstreamEnded(start: string, requests: readonly SuspectRequest[]): Promise<void> {
     if (requests.length === 0) return;
@@ -200,7 +208,7 @@
     const isNews = this.evidence.add(start, fingerprints);
     if (!isNews) return false;
     for (const answered of this.answers.among(fingerprints)) this.clear(answered);
-    this.judgeSoon(true);
+    this.judgeSoon();
     return true;
   }
 
@@ -216,21 +224,26 @@
     return isNews;
   }
 
-  /** Those daemons judge first that know what the request asks, so that all are told. */
-  private judge(mustBeDescribed = true): void {
+  private judge(): void {
     this.judging = undefined;
     // Two that ran beside each other each time can't be told apart: both are held back.
     const convicted: Convicted[] = this.evidence
       .under(TELLING_ENDS)
       .filter(fingerprint => !this.verdicts.isHeld(fingerprint))
       .map(fingerprint => ({ fingerprint, starts: this.evidence.startsUnder(fingerprint) }));
-    const isDescribed = ({ fingerprint }: Convicted) => this.descriptions.has(fingerprint);
-    for (const one of convicted) if (!mustBeDescribed || isDescribed(one)) this.hold(one);
-    if (mustBeDescribed && !convicted.every(isDescribed)) this.judgeSoon(false);
+    const isRipe = ({ fingerprint }: Convicted) => this.ripeAt(fingerprint) <= this.options.clock.now();
+    for (const one of convicted) if (isRipe(one)) this.hold(one);
+    if (!convicted.every(isRipe)) this.judgeSoon();
+  }
+
+  /** When a request may be judged; first by daemons that know what it asks, so that all are told. */
+  private ripeAt(fingerprint: string): number {
+    const wait = this.descriptions.has(fingerprint) ? JUDGED_AFTER_MS : 2 * JUDGED_AFTER_MS;
+    return this.evidence.lastEndUnder(fingerprint) + wait;
   }
 
-  private judgeSoon(mustBeDescribed: boolean): void {
-    this.judging ??= this.options.clock.after(JUDGED_AFTER_MS, () => this.judge(mustBeDescribed));
+  private judgeSoon(): void {
+    this.judging ??= this.options.clock.after(JUDGED_AFTER_MS, () => this.judge());
   }
 
   private hold({ fingerprint, starts }: Convicted): void {
--- a/tests/quarantine.spec.ts
+++ b/tests/quarantine.spec.ts
@@ -46,6 +46,9 @@
       expect(fleet.standings(DEADLY)).to.deep.equal(all('prime-suspect'));
       await fleet.end(2, 'u2@1', [DEADLY]);
       expect(fleet.standings(DEADLY)).to.deep.equal(all('held'));
+      expect(fleet.daemons[3]!.retryAfterMs(DEADLY)).to.equal(500);
+      await fleet.pass(JUDGED_MS);
+      expect(fleet.daemons[3]!.retryAfterMs(DEADLY)).to.equal(60_000);
     });
 
     it('also after all daemons were killed and started at once', async () => {
