Name what the quarantine does in plain words

Cause: read as a newcomer: judges, culprits and wards are pictures of ours, not terms of the field. Change: names only, but for one: a suspect that gave up while it waited left an empty entry behind.

--- a/packages/calls/src/upstreamSide.ts
+++ b/packages/calls/src/upstreamSide.ts
@@ -130,7 +130,7 @@
   /** Beside few other suspects, or none; not at all once it is held back, also if its sender doesn't know that yet. */
   private async serveApart(call: Called, signal: CancelSignal): Promise<CallAnswer> {
     const { head, context, route, upstream } = call;
-    const room = this.standingOf(call) === 'prime-suspect' ? 'all-places' : 'a-place';
+    const room = this.standingOf(call) === 'strong-suspect' ? 'all-places' : 'a-place';
     using place = await this.isolation.enter(upstream.start, room, signal);
     void place;
     if (this.standingOf(call) === 'held') return this.refuseHeld(call);
--- a/packages/quarantine/src/evidence.ts
+++ b/packages/quarantine/src/evidence.ts
@@ -12,12 +12,12 @@
 interface End {
   /** Clock time at which it was learned of, ms. */
   readonly at: number;
-  /** Fingerprints of requests that ran there, less those that are excused. */
+  /** Fingerprints of requests that ran there, less those that are cleared. */
   readonly suspects: Set<string>;
   /** Fingerprints of requests that it did not end under, whatever is said later. */
-  readonly excused: Set<string>;
+  readonly cleared: Set<string>;
   /** The request that it ended under, once that is known. */
-  culprit: string | undefined;
+  cause: string | undefined;
 }
 
 /** A start that has ended, and the requests that it may have ended under. */
@@ -26,7 +26,7 @@
   readonly fingerprints: readonly string[];
 }
 
-/** Ends of upstreams, and what may be to blame. */
+/** Ends of upstreams, and the requests that they may be due to. */
 export class Evidence {
   private readonly ends = new Map<string, End>();
   private readonly startsOf = new Map<string, Set<string>>();
@@ -54,11 +54,11 @@
   }
 
   /** A request ended well, so that these starts did not end under it. Says whether that was news. */
-  excuse(fingerprint: string, starts: readonly string[]): boolean {
-    const news = starts.filter(start => !this.endOf(start).excused.has(fingerprint));
+  clearOf(fingerprint: string, starts: readonly string[]): boolean {
+    const news = starts.filter(start => !this.endOf(start).cleared.has(fingerprint));
     for (const start of news) {
-      this.endOf(start).excused.add(fingerprint);
-      this.clear(start, fingerprint);
+      this.endOf(start).cleared.add(fingerprint);
+      this.unlink(start, fingerprint);
     }
     return news.length > 0;
   }
@@ -67,12 +67,12 @@
   attribute(fingerprint: string, starts: readonly string[]): void {
     for (const start of starts) {
       const end = this.endOf(start);
-      end.culprit = fingerprint;
-      for (const other of [...end.suspects]) if (other !== fingerprint) this.clear(start, other);
+      end.cause = fingerprint;
+      for (const other of [...end.suspects]) if (other !== fingerprint) this.unlink(start, other);
     }
   }
 
-  /** Starts that ended while the request ran there, and that it is not excused from. */
+  /** Starts that ended while the request ran there, and that it is not cleared from. */
   startsUnder(fingerprint: string): string[] {
     return [...(this.startsOf.get(fingerprint) ?? [])];
   }
@@ -96,7 +96,7 @@
   private endOf(start: string): End {
     let end = this.ends.get(start);
     if (end) return end;
-    end = { at: this.clock.now(), suspects: new Set(), excused: new Set(), culprit: undefined };
+    end = { at: this.clock.now(), suspects: new Set(), cleared: new Set(), cause: undefined };
     this.ends.set(start, end);
     const [oldest] = this.ends.keys();
     if (this.ends.size > MOST_ENDS && oldest !== undefined) this.forget(oldest);
@@ -109,7 +109,7 @@
     this.startsOf.set(fingerprint, starts.add(start));
   }
 
-  private clear(start: string, fingerprint: string): void {
+  private unlink(start: string, fingerprint: string): void {
     this.ends.get(start)?.suspects.delete(fingerprint);
     const starts = this.startsOf.get(fingerprint);
     starts?.delete(start);
@@ -125,12 +125,12 @@
   }
 
   private forget(start: string): void {
-    for (const fingerprint of [...(this.ends.get(start)?.suspects ?? [])]) this.clear(start, fingerprint);
+    for (const fingerprint of [...(this.ends.get(start)?.suspects ?? [])]) this.unlink(start, fingerprint);
     this.ends.delete(start);
   }
 }
 
-function isNews({ suspects, excused, culprit }: End, fingerprint: string): boolean {
-  if (culprit !== undefined && culprit !== fingerprint) return false;
-  return !suspects.has(fingerprint) && !excused.has(fingerprint);
+function isNews({ suspects, cleared, cause }: End, fingerprint: string): boolean {
+  if (cause !== undefined && cause !== fingerprint) return false;
+  return !suspects.has(fingerprint) && !cleared.has(fingerprint);
 }
--- a/packages/quarantine/src/isolation.ts
+++ b/packages/quarantine/src/isolation.ts
@@ -1,6 +1,6 @@
 /**
- * Lets few suspected requests at a time run at an upstream, and the most suspected ones beside no other suspect. If the upstream ends, few are to
- * blame, and at last one: two that always ran side by side could not be told apart, and the innocent one would be held back with the other.
+ * Lets few suspected requests at a time run at an upstream, and the most suspected ones beside no other suspect. If the upstream ends, few come
+ * into question, and at last one: two that always ran side by side could not be told apart, and the harmless one would be held back with the other.
  */
 import { type CancelSignal } from '@cleatquay/clock';
 
@@ -15,38 +15,38 @@
   readonly enter: () => void;
 }
 
-interface Ward {
+interface Places {
   free: number;
   readonly waiting: Waiter[];
 }
 
 /** Places for suspected requests at each start of an upstream, given in the order in which they are asked for. */
 export class Isolation {
-  private readonly wards = new Map<string, Ward>();
+  private readonly byStart = new Map<string, Places>();
 
   /** Waits for room; whoever gets it gives it back by disposing of the result. Resolves without room when `signal` aborts. */
   async enter(start: string, room: Room, signal: CancelSignal): Promise<Disposable> {
-    const ward = this.wards.get(start) ?? { free: PLACES, waiting: [] };
-    this.wards.set(start, ward);
+    const there = this.byStart.get(start) ?? { free: PLACES, waiting: [] };
+    this.byStart.set(start, there);
     const places = room === 'all-places' ? PLACES : 1;
-    const hasEntered = await entered(ward, places, signal);
-    return { [Symbol.dispose]: () => hasEntered && this.leave(start, ward, places) };
+    const hasEntered = await entered(there, places, signal);
+    return { [Symbol.dispose]: () => this.leave(start, there, hasEntered ? places : 0) };
   }
 
-  private leave(start: string, ward: Ward, places: number): void {
-    ward.free += places;
-    admitNext(ward);
-    if (ward.free === PLACES && ward.waiting.length === 0) this.wards.delete(start);
+  private leave(start: string, there: Places, places: number): void {
+    there.free += places;
+    admitNext(there);
+    if (there.free === PLACES && there.waiting.length === 0) this.byStart.delete(start);
   }
 }
 
 /** Whether there was room before the signal aborted. */
-function entered(ward: Ward, places: number, signal: CancelSignal): Promise<boolean> {
+function entered(there: Places, places: number, signal: CancelSignal): Promise<boolean> {
   if (signal.aborted) return Promise.resolve(false);
   return new Promise(resolve => {
     const giveUp = () => {
-      ward.waiting.splice(ward.waiting.indexOf(waiter), 1);
-      admitNext(ward);
+      there.waiting.splice(there.waiting.indexOf(waiter), 1);
+      admitNext(there);
       resolve(false);
     };
     const waiter = {
@@ -57,15 +57,15 @@
       },
     };
     signal.addEventListener('abort', giveUp, { once: true });
-    ward.waiting.push(waiter);
-    admitNext(ward);
+    there.waiting.push(waiter);
+    admitNext(there);
   });
 }
 
-function admitNext(ward: Ward): void {
-  for (let next = ward.waiting[0]; next && next.places <= ward.free; next = ward.waiting[0]) {
-    ward.waiting.shift();
-    ward.free -= next.places;
+function admitNext(there: Places): void {
+  for (let next = there.waiting[0]; next && next.places <= there.free; next = there.waiting[0]) {
+    there.waiting.shift();
+    there.free -= next.places;
     next.enter();
   }
 }
--- a/packages/quarantine/src/quarantine.ts
+++ b/packages/quarantine/src/quarantine.ts
@@ -3,7 +3,7 @@
  * have ended, and that has ended well nowhere, is held back everywhere until an operator releases it.
  *
  * A request that is held back without reason is refused until somebody notices, so that much speaks for it: it is cleared of an end as soon as it
- * ends well anywhere, or if it did of late; once an end is another's, nobody else is blamed for it; and suspects run beside few others or none
+ * ends well anywhere, or if it did of late; once an end is another's, it counts against nobody else; and suspects run beside few others or none
  * (`isolation.ts`).
  */
 import { type Clock, type Random, type Timer } from '@cleatquay/clock';
@@ -17,21 +17,21 @@
 import { type Verdict, Verdicts, isHeld } from './verdicts.js';
 
 /** Ends under one request after which it is held back. One may be chance, and two may be beside another's. */
-const TELLING_ENDS = 3;
+const QUARANTINE_ENDS = 3;
 /** Ends under one request after which it runs beside no other suspect. */
-const INCRIMINATING_ENDS = 2;
+const STRONGLY_SUSPICIOUS_ENDS = 2;
 /** A verdict waits so long for what clears the request, ms: word of it takes two rounds of gossip. Until then it is held back all the same. */
-const JUDGED_AFTER_MS = 250;
+const DECIDED_AFTER_MS = 250;
 /** A request that is held back may come again as often as it likes, and is told not to come soon, ms. */
 const HELD_RETRY_AFTER_MS = 60_000;
-const UNJUDGED_RETRY_AFTER_MS = 2 * JUDGED_AFTER_MS;
+const UNDECIDED_RETRY_AFTER_MS = 2 * DECIDED_AFTER_MS;
 /** Requests of which it is remembered what they ask, for people. */
 const MOST_DESCRIBED = 500;
 /** Starts that a verdict names, of those that ended under its request. */
 const MOST_NAMED_STARTS = 4;
 
 /** Whether a request may run: as any other, beside few other suspects, beside none of them, or not at all. */
-export type Standing = 'free' | 'suspect' | 'prime-suspect' | 'held';
+export type Standing = 'free' | 'suspect' | 'strong-suspect' | 'held';
 
 /** A request that ran where an upstream ended. */
 export interface SuspectRequest extends Pick<AskedHead, 'method' | 'path'> {
@@ -39,7 +39,7 @@
 }
 
 /** A request under which so many upstreams ended that it is held back. */
-interface Convicted {
+interface Attribution {
   readonly fingerprint: string;
   readonly starts: readonly string[];
 }
@@ -63,7 +63,7 @@
   private readonly answers: RecentAnswers;
   private readonly keeper: RecordKeeper;
   private readonly descriptions = new Map<string, string>();
-  private judging: Timer | undefined;
+  private deciding: Timer | undefined;
 
   constructor(private readonly options: QuarantineOptions) {
     const { clock, random, table, service, log } = options;
@@ -119,14 +119,14 @@
   standingOf(fingerprint: string): Standing {
     if (this.verdicts.isHeld(fingerprint)) return 'held';
     const ends = this.evidence.startsUnder(fingerprint).length;
-    if (ends >= TELLING_ENDS) return 'held';
-    if (ends >= INCRIMINATING_ENDS) return 'prime-suspect';
+    if (ends >= QUARANTINE_ENDS) return 'held';
+    if (ends >= STRONGLY_SUSPICIOUS_ENDS) return 'strong-suspect';
     return ends > 0 ? 'suspect' : 'free';
   }
 
   /** When a request that is held back may come again, ms: soon while there is no verdict, since it may be cleared. */
   retryAfterMs(fingerprint: string): number {
-    return this.verdicts.isHeld(fingerprint) ? HELD_RETRY_AFTER_MS : UNJUDGED_RETRY_AFTER_MS;
+    return this.verdicts.isHeld(fingerprint) ? HELD_RETRY_AFTER_MS : UNDECIDED_RETRY_AFTER_MS;
   }
 
   /** The upstream beside this daemon ended while these ran there. Resolves when what others know of them is known, or doesn't come soon. */
@@ -157,7 +157,7 @@
   /** An upstream gave a whole answer to the request. `fingerprint` makes its fingerprint if it is needed. */
   answered(head: AskedHead, body: Uint8Array, fingerprint: () => string): void {
     this.answers.add(head, body);
-    if (this.evidence.suspects > 0) this.clear(fingerprint());
+    if (this.evidence.suspects > 0) this.endedWell(fingerprint());
   }
 
   /** Takes what another daemon found out. Says whether it was news, which is then passed on. */
@@ -169,7 +169,7 @@
       case 'ENDED':
         return starts.filter(start => this.suspect(start, fingerprints)).length > 0;
       case 'ENDED_WELL':
-        return fingerprints.filter(fingerprint => this.excuse(fingerprint, starts)).length > 0;
+        return fingerprints.filter(fingerprint => this.clearOf(fingerprint, starts)).length > 0;
       case 'HELD':
       case 'RELEASED': {
         const since = this.options.clock.date().getTime();
@@ -196,7 +196,7 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    this.judging?.[Symbol.dispose]();
+    this.deciding?.[Symbol.dispose]();
     await this.keeper[Symbol.asyncDispose]();
   }
 
@@ -207,46 +207,46 @@
   private suspect(start: string, fingerprints: readonly string[]): boolean {
     const isNews = this.evidence.add(start, fingerprints);
     if (!isNews) return false;
-    for (const answered of this.answers.among(fingerprints)) this.clear(answered);
-    this.judgeSoon();
+    for (const answered of this.answers.among(fingerprints)) this.endedWell(answered);
+    this.decideSoon();
     return true;
   }
 
   /** The request ended well: it is cleared of all ends that are known so far. */
-  private clear(fingerprint: string): void {
+  private endedWell(fingerprint: string): void {
     const starts = this.evidence.startsUnder(fingerprint);
     if (starts.length > 0) this.tell(findingOf('ENDED_WELL', starts, [fingerprint]));
   }
 
-  private excuse(fingerprint: string, starts: readonly string[]): boolean {
-    const isNews = this.evidence.excuse(fingerprint, starts);
+  private clearOf(fingerprint: string, starts: readonly string[]): boolean {
+    const isNews = this.evidence.clearOf(fingerprint, starts);
     if (isNews) this.keeper.changed(starts);
     return isNews;
   }
 
-  private judge(): void {
-    this.judging = undefined;
+  private decide(): void {
+    this.deciding = undefined;
     // Two that ran beside each other each time can't be told apart: both are held back.
-    const convicted: Convicted[] = this.evidence
-      .under(TELLING_ENDS)
+    const attributed: Attribution[] = this.evidence
+      .under(QUARANTINE_ENDS)
       .filter(fingerprint => !this.verdicts.isHeld(fingerprint))
       .map(fingerprint => ({ fingerprint, starts: this.evidence.startsUnder(fingerprint) }));
-    const isRipe = ({ fingerprint }: Convicted) => this.ripeAt(fingerprint) <= this.options.clock.now();
-    for (const one of convicted) if (isRipe(one)) this.hold(one);
-    if (!convicted.every(isRipe)) this.judgeSoon();
+    const isDue = ({ fingerprint }: Attribution) => this.dueAt(fingerprint) <= this.options.clock.now();
+    for (const one of attributed) if (isDue(one)) this.hold(one);
+    if (!attributed.every(isDue)) this.decideSoon();
   }
 
-  /** When a request may be judged; first by daemons that know what it asks, so that all are told. */
-  private ripeAt(fingerprint: string): number {
-    const wait = this.descriptions.has(fingerprint) ? JUDGED_AFTER_MS : 2 * JUDGED_AFTER_MS;
+  /** When a request may be decided on; first by daemons that know what it asks, so that all are told. */
+  private dueAt(fingerprint: string): number {
+    const wait = this.descriptions.has(fingerprint) ? DECIDED_AFTER_MS : 2 * DECIDED_AFTER_MS;
     return this.evidence.lastEndUnder(fingerprint) + wait;
   }
 
-  private judgeSoon(): void {
-    this.judging ??= this.options.clock.after(JUDGED_AFTER_MS, () => this.judge());
+  private decideSoon(): void {
+    this.deciding ??= this.options.clock.after(DECIDED_AFTER_MS, () => this.decide());
   }
 
-  private hold({ fingerprint, starts }: Convicted): void {
+  private hold({ fingerprint, starts }: Attribution): void {
     const revision = (this.verdicts.get(fingerprint)?.revision ?? 0) + 1;
     const since = this.options.clock.date().getTime();
     const asks = this.descriptions.get(fingerprint) ?? '';
@@ -266,7 +266,7 @@
     const asks = this.descriptions.get(fingerprint) ?? verdict.asks;
     if (!this.verdicts.put({ ...verdict, starts: starts.slice(0, MOST_NAMED_STARTS), asks })) return false;
     if (isHeld(verdict)) this.evidence.attribute(fingerprint, starts);
-    else this.evidence.excuse(fingerprint, [...starts, ...this.evidence.startsUnder(fingerprint)]);
+    else this.evidence.clearOf(fingerprint, [...starts, ...this.evidence.startsUnder(fingerprint)]);
     const message = isHeld(verdict) ? 'A request is held back.' : 'A request is released.';
     this.options.log(message, { fingerprint, asks, starts, from });
     if (from !== 'the record' && this.keeper.saw(starts)) void this.keeper.write().catch(() => undefined);
--- a/tests/quarantine.spec.ts
+++ b/tests/quarantine.spec.ts
@@ -13,11 +13,11 @@
 
 const DAEMONS = 4;
 const DEADLY = 'dead000000000000';
-const INNOCENT = '1111111111111111';
+const HARMLESS = '1111111111111111';
 const OTHERS = ['2222222222222222', '3333333333333333'];
 const LONG_MS = 5000;
 /** A verdict waits for word that clears the request. */
-const JUDGED_MS = 300;
+const DECIDED_MS = 300;
 const RUNS = 500;
 
 const HEAD = { method: 'GET', path: '/a?b=1', headers: 'Host\nh.example\nAuthorization\nme\n' };
@@ -33,7 +33,7 @@
   const all = (standing: string) => fleet.daemons.map(() => standing);
   const endThree = async (fingerprints: readonly string[]) => {
     for (const at of [0, 1, 2]) await fleet.end(at, `u${String(at)}@1`, fingerprints);
-    await fleet.pass(JUDGED_MS);
+    await fleet.pass(DECIDED_MS);
   };
   const answer = (at: number, fingerprint: string) =>
     fleet.daemons[at]!.answered({ ...HEAD, path: `/${fingerprint}` }, EMPTY, () => fingerprint);
@@ -43,11 +43,11 @@
       await fleet.end(0, 'u0@1', [DEADLY, ...OTHERS]);
       expect(fleet.standings(DEADLY)).to.deep.equal(all('suspect'));
       await fleet.end(1, 'u1@1', [DEADLY]);
-      expect(fleet.standings(DEADLY)).to.deep.equal(all('prime-suspect'));
+      expect(fleet.standings(DEADLY)).to.deep.equal(all('strong-suspect'));
       await fleet.end(2, 'u2@1', [DEADLY]);
       expect(fleet.standings(DEADLY)).to.deep.equal(all('held'));
       expect(fleet.daemons[3]!.retryAfterMs(DEADLY)).to.equal(500);
-      await fleet.pass(JUDGED_MS);
+      await fleet.pass(DECIDED_MS);
       expect(fleet.daemons[3]!.retryAfterMs(DEADLY)).to.equal(60_000);
     });
 
@@ -89,16 +89,16 @@
     it('when daemons tell of the same end again, or late', async () => {
       for (const at of [0, 1, 2, 3, 0]) await fleet.end(at, 'u0@1', [DEADLY]);
       await fleet.end(1, 'u1@1', [DEADLY]);
-      expect(fleet.standings(DEADLY)).to.deep.equal(all('prime-suspect'));
+      expect(fleet.standings(DEADLY)).to.deep.equal(all('strong-suspect'));
     });
 
     it('when it ended well in between', async () => {
-      await fleet.end(0, 'u0@1', [INNOCENT]);
-      await fleet.end(1, 'u1@1', [INNOCENT]);
-      answer(3, INNOCENT);
-      await fleet.end(2, 'u2@1', [INNOCENT]);
-      await fleet.pass(JUDGED_MS);
-      expect(fleet.standings(INNOCENT)).to.deep.equal(all('suspect'));
+      await fleet.end(0, 'u0@1', [HARMLESS]);
+      await fleet.end(1, 'u1@1', [HARMLESS]);
+      answer(3, HARMLESS);
+      await fleet.end(2, 'u2@1', [HARMLESS]);
+      await fleet.pass(DECIDED_MS);
+      expect(fleet.standings(HARMLESS)).to.deep.equal(all('suspect'));
     });
 
     it('when it was answered just before many upstreams ended at once', async () => {
@@ -109,14 +109,14 @@
       expect(fleet.standings(fingerprint)).to.deep.equal(all('free'));
     });
 
-    it('for ends that are found to be another one’s', async () => {
-      await fleet.end(0, 'u0@1', [DEADLY, INNOCENT]);
-      await fleet.end(1, 'u1@1', [DEADLY, INNOCENT]);
+    it('for ends that are found to be due to another one', async () => {
+      await fleet.end(0, 'u0@1', [DEADLY, HARMLESS]);
+      await fleet.end(1, 'u1@1', [DEADLY, HARMLESS]);
       await fleet.end(2, 'u2@1', [DEADLY]);
-      await fleet.pass(JUDGED_MS);
+      await fleet.pass(DECIDED_MS);
       expect(fleet.standings(DEADLY)).to.deep.equal(all('held'));
-      await fleet.end(3, 'u3@1', [INNOCENT]);
-      expect(fleet.standings(INNOCENT)).to.deep.equal(all('suspect'));
+      await fleet.end(3, 'u3@1', [HARMLESS]);
+      expect(fleet.standings(HARMLESS)).to.deep.equal(all('suspect'));
     });
 
     it('once an operator has released it, also after all daemons were killed', async () => {
@@ -144,9 +144,9 @@
 describe('evidence', () => {
   const start = fc.constantFrom('a', 'b', 'c', 'd');
   const word = fc.record({
-    isExcuse: fc.boolean(),
+    isClearing: fc.boolean(),
     start,
-    fingerprint: fc.constantFrom(DEADLY, INNOCENT, ...OTHERS),
+    fingerprint: fc.constantFrom(DEADLY, HARMLESS, ...OTHERS),
   });
 
   it('comes to the same in whatever order, and however often, words of it come', () => {
@@ -154,10 +154,10 @@
       fc.property(fc.array(word, { maxLength: 12 }), fc.array(fc.nat(11)), (words, again) => {
         const outcome = (list: typeof words) => {
           const evidence = new Evidence(new ManualClock());
-          for (const { isExcuse, start: at, fingerprint } of list)
-            if (isExcuse) evidence.excuse(fingerprint, [at]);
+          for (const { isClearing, start: at, fingerprint } of list)
+            if (isClearing) evidence.clearOf(fingerprint, [at]);
             else evidence.add(at, [fingerprint]);
-          return [DEADLY, INNOCENT, ...OTHERS].map(fingerprint => evidence.startsUnder(fingerprint).sort());
+          return [DEADLY, HARMLESS, ...OTHERS].map(fingerprint => evidence.startsUnder(fingerprint).sort());
         };
         const repeated = again.flatMap(i => words[i] ?? []);
         expect(outcome([...words, ...repeated].reverse())).to.deep.equal(outcome(words));
--- a/tests/quarantineSoak.spec.ts
+++ b/tests/quarantineSoak.spec.ts
@@ -13,7 +13,7 @@
 const SEED = process.env.CLEATQUAY_SEED ?? '1';
 const ROUND_LIMIT_MS = 60_000;
 /** Ends under one request after which it is known, and time in which all daemons learn of it. */
-const TELLING_ENDS = 3;
+const QUARANTINE_ENDS = 3;
 const KNOWN_EVERYWHERE_MS = 3000;
 /** Sends after that time that are borne. */
 const BORNE_SENDS = 3;
@@ -89,7 +89,7 @@
       .filter(({ requestId }) => deadly.has(requestId))
       .map(({ at }) => at)
       .sort((a, b) => a - b);
-    const known = (ends[TELLING_ENDS - 1] ?? Number.POSITIVE_INFINITY) + KNOWN_EVERYWHERE_MS;
+    const known = (ends[QUARANTINE_ENDS - 1] ?? Number.POSITIVE_INFINITY) + KNOWN_EVERYWHERE_MS;
     return fleet.nodes.flatMap(({ upstream }, node) =>
       upstream.arrivals.filter(
         ({ requestId, at }) =>
--- a/tests/queryOfDeath.spec.ts
+++ b/tests/queryOfDeath.spec.ts
@@ -19,7 +19,7 @@
 import { ProcessFleet, type ProcessNode, type ProcessVm } from './fixtures/platformProcesses.js';
 
 /** Ends under one request after which it is known. */
-const TELLING_ENDS = 3;
+const QUARANTINE_ENDS = 3;
 /** Time in which all daemons learn of it. */
 const KNOWN_EVERYWHERE_MS = 3000;
 /** Sends after that time that are borne. */
@@ -31,7 +31,7 @@
 const MANY_CALLERS = 36;
 const MANY_DEATHS = 12;
 const SHORT_PAUSE_MS = 300;
-/** Innocent requests beside it: of every five of them, four are served even while upstreams are away. */
+/** Harmless requests beside it: of every five of them, four are served even while upstreams are away. */
 const SERVED_SHARE = 0.8;
 
 const VMS: ProcessVm[] = ['z1', 'z1', 'z2', 'z2', 'z3', 'z3'].map(failureDomain => ({
@@ -73,7 +73,7 @@
       .map(({ at }) => at)
       .sort((a, b) => a - b);
   const sendsTooLate = () => {
-    const third = ends()[TELLING_ENDS - 1] ?? Number.POSITIVE_INFINITY;
+    const third = ends()[QUARANTINE_ENDS - 1] ?? Number.POSITIVE_INFINITY;
     return sends().filter(at => at > third + KNOWN_EVERYWHERE_MS);
   };
   const askForDeath = (more: { host?: string; body?: string } = {}) =>
@@ -104,7 +104,7 @@
     const beside = askBeside(() => isOver);
     const statuses = await repeatFor(20_000);
     isOver = true;
-    expect(ends().length).to.be.at.least(TELLING_ENDS);
+    expect(ends().length).to.be.at.least(QUARANTINE_ENDS);
     expect(sendsTooLate().length).to.be.at.most(BORNE_SENDS);
     expect(statuses.at(-1)).to.equal(503);
     const others = await beside;
@@ -144,13 +144,13 @@
 
   it('that may run only once and has a body is sent to no more either', async () => {
     const statuses = await repeatFor(20_000, { host: 'once.example', body: 'deadly' });
-    expect(ends().length).to.be.at.least(TELLING_ENDS);
+    expect(ends().length).to.be.at.least(QUARANTINE_ENDS);
     expect(sendsTooLate().length).to.be.at.most(BORNE_SENDS);
     expect(statuses.at(-1)).to.equal(503);
   });
 
   it('is still known after all daemons were killed and started at once', async () => {
-    while (ends().length < TELLING_ENDS) {
+    while (ends().length < QUARANTINE_ENDS) {
       await askForDeath();
       await sleep(PAUSE_MS);
     }
