Suspect nothing else of ends under a request that is held back already

Callers would have seen: harmless requests refused for good that had run at three ends after the verdict, or at ends that a daemon has from the record only. Cause: a verdict clears what ran beside its request of the starts that it names; ends that come later, and those of a row beyond four, counted on. Class: a decision that holds for what was known when it was made. Change: an end while a held request ran is due to that one, whenever it is learned of; a released one is not counted by ends of the record.

--- a/packages/quarantine/src/quarantine.ts
+++ b/packages/quarantine/src/quarantine.ts
@@ -207,11 +207,18 @@
   private suspect(start: string, fingerprints: readonly string[]): boolean {
     const isNews = this.evidence.add(start, fingerprints);
     if (!isNews) return false;
+    this.attributeToHeld(start, fingerprints);
     for (const answered of this.answers.among(fingerprints)) this.endedWell(answered);
     this.decideSoon();
     return true;
   }
 
+  /** An end while a request ran that is held back anyway is due to that one: nothing else is suspected of it. */
+  private attributeToHeld(start: string, fingerprints: readonly string[]): void {
+    const held = fingerprints.find(fingerprint => this.verdicts.isHeld(fingerprint));
+    if (held !== undefined) this.evidence.attribute(held, [start]);
+  }
+
   /** The request ended well: it is cleared of all ends that are known so far. */
   private endedWell(fingerprint: string): void {
     const starts = this.evidence.startsUnder(fingerprint);
@@ -274,11 +281,18 @@
   }
 
   private takeRow({ ends, verdicts }: QuarantineRow): void {
-    for (const { start, fingerprints } of ends) this.evidence.add(start, fingerprints);
     for (const verdict of verdicts) {
       if (verdict.asks !== '') this.describe(verdict.fingerprint, verdict.asks);
       if (this.take(verdict, 'the record')) this.options.spread(findingOfVerdict(verdict));
     }
+    for (const { start, fingerprints } of ends) this.takeEnd(start, fingerprints);
+  }
+
+  /** A request that was released starts anew, also for a daemon that learns of its ends from the record. */
+  private takeEnd(start: string, fingerprints: readonly string[]): void {
+    const suspects = fingerprints.filter(fingerprint => !this.verdicts.isReleased(fingerprint));
+    this.evidence.add(start, suspects);
+    this.attributeToHeld(start, suspects);
   }
 
   private describe(fingerprint: string, asks: string): void {
--- a/packages/quarantine/src/verdicts.ts
+++ b/packages/quarantine/src/verdicts.ts
@@ -57,6 +57,11 @@
     return verdict !== undefined && isHeld(verdict);
   }
 
+  isReleased(fingerprint: string): boolean {
+    const verdict = this.known.get(fingerprint);
+    return verdict !== undefined && !isHeld(verdict);
+  }
+
   /** Takes a verdict if it is newer than what is known. Says whether it was. */
   put(verdict: Verdict): boolean {
     const known = this.known.get(verdict.fingerprint);
--- a/tests/quarantine.spec.ts
+++ b/tests/quarantine.spec.ts
@@ -16,6 +16,8 @@
 const HARMLESS = '1111111111111111';
 const OTHERS = ['2222222222222222', '3333333333333333'];
 const LONG_MS = 5000;
+/** More than a verdict names. */
+const LATER_ENDS = 8;
 /** A verdict waits for word that clears the request. */
 const DECIDED_MS = 300;
 const RUNS = 500;
@@ -119,6 +121,27 @@
       expect(fleet.standings(HARMLESS)).to.deep.equal(all('suspect'));
     });
 
+    it('for ends under another one that come after that is held back, also once all daemons have started again', async () => {
+      await endThree([DEADLY]);
+      for (let i = 0; i < LATER_ENDS; i++)
+        await fleet.end(i % DAEMONS, `later${String(i)}@1`, [DEADLY, HARMLESS]);
+      expect(fleet.standings(HARMLESS)).to.deep.equal(all('free'));
+      await fleet.pass(LONG_MS);
+      await fleet.restartAll();
+      expect(fleet.standings(DEADLY)).to.deep.equal(all('held'));
+      expect(fleet.standings(HARMLESS)).to.deep.equal(all('free'));
+    });
+
+    it('for ends under another one of which a daemon that starts has only the record', async () => {
+      for (let i = 0; i < LATER_ENDS; i++)
+        await fleet.end(i % DAEMONS, `many${String(i)}@1`, [DEADLY, HARMLESS]);
+      answer(3, HARMLESS);
+      await fleet.pass(LONG_MS);
+      await fleet.restartAll();
+      expect(fleet.standings(DEADLY)).to.deep.equal(all('held'));
+      expect(fleet.standings(HARMLESS)).to.deep.equal(all('free'));
+    });
+
     it('once an operator has released it, also after all daemons were killed', async () => {
       await endThree([DEADLY]);
       await fleet.daemons[1]!.release(DEADLY);
