Drop what stood twice, and what nobody used

Cause: read once more: a request that ran at an end had two types, and the queue of news a sum that nothing asked for. Measured: quarantine.spec.ts, membership.spec.ts as before.

--- a/packages/calls/src/index.ts
+++ b/packages/calls/src/index.ts
@@ -39,13 +39,7 @@
   UpstreamConnections,
   type UpstreamRequest,
 } from './upstreamConnections.js';
-export {
-  type InterruptedRequest,
-  type UpstreamEnd,
-  UpstreamEnds,
-  type UpstreamEndsOptions,
-  fingerprintAt,
-} from './upstreamEnds.js';
+export { type UpstreamEnd, UpstreamEnds, type UpstreamEndsOptions, fingerprintAt } from './upstreamEnds.js';
 export { type AnswerMeaning, type UpstreamDialect, ownDialect } from './upstreamDialect.js';
 export { type FleetRetryBounds, FleetRetryBudget } from './fleetRetryBudget.js';
 export { Relay, type RelayOptions, type RelayedRequest } from './relay.js';
--- a/packages/calls/src/upstreamEnds.ts
+++ b/packages/calls/src/upstreamEnds.ts
@@ -3,7 +3,7 @@
  * the first connection broke is what it may have ended under.
  */
 import { type Clock } from '@cleatquay/clock';
-import { type AskedHead, fingerprintOf } from '@cleatquay/quarantine';
+import { type SuspectRequest, fingerprintOf } from '@cleatquay/quarantine';
 import { splitAddress } from '@cleatquay/settings';
 import { connect } from 'node:net';
 import { type RunningCalls, type RunningRequest } from './runningCalls.js';
@@ -14,16 +14,11 @@
 /** Requests that are told of one end, those that began last: eight bytes each, so that they fit into one datagram. */
 const MOST_REQUESTS = 64;
 
-/** A request that ran where an upstream ended. */
-export interface InterruptedRequest extends Pick<AskedHead, 'method' | 'path'> {
-  readonly fingerprint: string;
-}
-
 /** The end of an upstream, and what ran there. */
 export interface UpstreamEnd {
   /** Names the start that has ended. */
   readonly start: string;
-  readonly requests: readonly InterruptedRequest[];
+  readonly requests: readonly SuspectRequest[];
 }
 
 /** What this needs of its daemon. */
@@ -63,7 +58,7 @@
   }
 }
 
-function requestOf({ head, body }: RunningRequest): InterruptedRequest[] {
+function requestOf({ head, body }: RunningRequest): SuspectRequest[] {
   const { method, path } = head;
   const fingerprint = fingerprintAt(head, body);
   return fingerprint === undefined ? [] : [{ method, path, fingerprint }];
--- a/packages/membership/src/broadcasts.ts
+++ b/packages/membership/src/broadcasts.ts
@@ -24,11 +24,6 @@
     return this.entries.size;
   }
 
-  /** Bytes of what waits. */
-  get bytes(): number {
-    return [...this.entries.values()].reduce((sum, { bytes }) => sum + bytes, 0);
-  }
-
   /** Queues a piece in place of an older one with the same key. */
   add(news: T): void {
     const { keyOf, sizeOf } = this.kind;
