Hold back a request under which upstreams with long names end

Callers would have seen: no protection at all where upstreams have names of more than some 190 characters. Cause: the name of a start was longer than what a daemon takes from another, and so was refused by itself, too; somewhat shorter ones made a finding longer than its place in a datagram, behind which others waited for good. Class: a bound at the reader that the writer doesn't know. Change: a start is named by at most 40 characters, a longer one by its digest; bounds fit into each other.

--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -21,7 +21,7 @@
 import { Failure } from '@cleatquay/errors';
 import { type KeptState, Meeting, type MeetingTable, type Membership } from '@cleatquay/membership';
 import { type Refusal, type RequestHead, endOf, refusalOf } from '@cleatquay/protocol';
-import { type QuarantineTable } from '@cleatquay/quarantine';
+import { type Quarantine, type QuarantineTable } from '@cleatquay/quarantine';
 import { HostRoutes, type RoutePlan } from '@cleatquay/routes';
 import { type ServiceBroker } from 'moleculer';
 import { type IncomingMessage, type ServerResponse, createServer } from 'node:http';
@@ -186,6 +186,10 @@
     return this.core.upstreams;
   }
 
+  get quarantine(): Quarantine {
+    return this.core.quarantine;
+  }
+
   /** Where its listeners are, by name. */
   get addresses(): ReadonlyMap<string, string> {
     return this.listeners.addresses;
--- a/packages/daemon/src/upstreams.ts
+++ b/packages/daemon/src/upstreams.ts
@@ -6,6 +6,7 @@
 import { type Upstream } from '@cleatquay/protocol';
 import { check } from '@cleatquay/settings';
 import { type Static, Type } from '@sinclair/typebox';
+import { createHash } from 'node:crypto';
 import { Starts } from './starts.js';
 
 /** Heartbeats that may be missing before an upstream is taken for gone. */
@@ -16,6 +17,8 @@
  */
 const SILENT_HEARTBEATS = 2;
 
+/** Characters of an upstream's name in that of a start of it. */
+const LONGEST_NAME = 40;
 /** A timer may go off so much early, ms. */
 const TIMER_MARGIN_MS = 2;
 
@@ -256,8 +259,8 @@
 
   /** An upstream that doesn't name itself is told apart by its address, and by when it was first heard of. */
   private startOf({ instanceId, born, address }: Announcement): string {
-    if (instanceId !== '') return `${instanceId}@${String(born)}`;
-    return `${address}@${String(this.options.clock.date().getTime())}`;
+    if (instanceId === '') return `${address}@${String(this.options.clock.date().getTime())}`;
+    return `${shortened(instanceId)}@${String(born)}`;
   }
 
   /** A late announcement says nothing new; one that left stays so. */
@@ -329,3 +332,9 @@
 function isSame(a: Announcement, b: Announcement): boolean {
   return a.address === b.address && a.instanceId === b.instanceId && a.born === b.born;
 }
+
+/** A long name by its digest: daemons tell each other of starts in datagrams. */
+function shortened(instanceId: string): string {
+  if (instanceId.length <= LONGEST_NAME) return instanceId;
+  return createHash('sha256').update(instanceId).digest('hex').slice(0, LONGEST_NAME);
+}
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -500,8 +500,8 @@
 }
 
 const MEMBER_BYTES = 150;
-/** A verdict has some 80 bytes with three starts. */
-const VERDICTS_A_DATAGRAM = 8;
+/** A verdict has up to 400 bytes. */
+const VERDICTS_A_DATAGRAM = 2;
 
 function membersThatFit(members: Member[]): number {
   const bytes = (count: number) => members.slice(0, count).reduce((sum, m) => sum + sizeOf(m), 0);
--- a/packages/quarantine/src/findings.ts
+++ b/packages/quarantine/src/findings.ts
@@ -5,8 +5,8 @@
 
 const FINGERPRINT_BYTES = FINGERPRINT_DIGITS / 2;
 /** Starts of one finding, at most; further ones say nothing new. */
-const MOST_STARTS = 16;
-const LONGEST_START = 200;
+const MOST_STARTS = 8;
+const LONGEST_START = 64;
 /** Characters of what a request asks, as it is told. */
 export const LONGEST_ASKS = 100;
 
--- a/tests/quarantineOperators.spec.ts
+++ b/tests/quarantineOperators.spec.ts
@@ -1,11 +1,13 @@
 import { fingerprintOf } from '@cleatquay/quarantine';
 import { expect } from 'chai';
 import { execFile } from 'node:child_process';
-import { PlatformFleet, routeTo } from './fixtures/platformFleet.js';
+import { PlatformFleet, routeTo, until } from './fixtures/platformFleet.js';
 
 const CLI = 'packages/cli/bin/cleatquay.js';
 const DEADLY = '/deadly';
 const TELLING_ENDS = 3;
+/** As long as the path of an announcement allows. */
+const LONGEST_NAME = 200;
 
 interface Ended {
   readonly code: number;
@@ -110,3 +112,24 @@
     expect(fleet.nodes.reduce((sum, { upstream }) => sum + upstream.ends.length, 0)).to.equal(1);
   });
 });
+
+describe('an upstream with a long name', () => {
+  let fleet: PlatformFleet;
+
+  beforeEach(async () => {
+    fleet = await PlatformFleet.start([], [routeTo('history')]);
+    for (const name of ['a', 'b', 'c']) await fleet.add({ service: 'history' }, name.repeat(LONGEST_NAME));
+    await fleet.settle();
+    for (const { upstream } of fleet.nodes)
+      upstream.behaviour.fault = (_id, path) => (path === DEADLY ? 'end' : 'none');
+  });
+
+  afterEach(() => fleet[Symbol.asyncDispose]());
+
+  it('ends under a request that is then held back like any other', async () => {
+    for (let i = 0; i < 3; i++) await fleet.ask(0, { path: DEADLY });
+    const { quarantine } = fleet.nodes[0]!.daemon;
+    await until(() => quarantine.counts.held === 1);
+    for (const { daemon } of fleet.nodes) await until(() => daemon.quarantine.counts.held === 1);
+  });
+});
