Check that others are served once all daemons have started again beside a request that is held back

Cause: the test of a killed fleet asked only for what is held back. Change: harmless requests beside it, all of them served, and nothing else held back at any daemon. Measured: queryOfDeath.spec.ts, that case: passes, and with the commits before.

--- a/tests/queryOfDeath.spec.ts
+++ b/tests/queryOfDeath.spec.ts
@@ -149,7 +149,7 @@
     expect(statuses.at(-1)).to.equal(503);
   });
 
-  it('is still known after all daemons were killed and started at once', async () => {
+  it('is still known after all daemons were killed and started at once, and others beside it are served', async () => {
     while (ends().length < QUARANTINE_ENDS) {
       await askForDeath();
       await sleep(PAUSE_MS);
@@ -158,7 +158,14 @@
     await Promise.all(fleet.nodes.map(node => node.restart()));
     await fleet.settle();
     const before = sends().length;
+    let isOver = false;
+    const beside = askBeside(() => isOver);
     await repeatFor(8000);
+    isOver = true;
     expect(sends().length - before).to.equal(0);
+    const others = await beside;
+    expect(others).to.deep.equal(others.map(() => 200));
+    for (const node of fleet.nodes)
+      expect((await node.status())!.quarantine.map(({ asks }) => asks)).to.deep.equal([`GET ${DEADLY}`]);
   });
 });
