Test requests that end upstreams with long bodies, and as calls of other upstreams

Cause: both were said to be held back, and nothing attacked it. Change: a body of 90,000 bytes, of which the daemon beside the upstream has a stream; a call under which the service below ends.

--- a/tests/quarantineOperators.spec.ts
+++ b/tests/quarantineOperators.spec.ts
@@ -1,13 +1,15 @@
 import { fingerprintOf } from '@cleatquay/quarantine';
 import { expect } from 'chai';
 import { execFile } from 'node:child_process';
-import { PlatformFleet, routeTo, until } from './fixtures/platformFleet.js';
+import { PlatformFleet, type PlatformVm, routeTo, until } from './fixtures/platformFleet.js';
 
 const CLI = 'packages/cli/bin/cleatquay.js';
 const DEADLY = '/deadly';
-const TELLING_ENDS = 3;
+const QUARANTINE_ENDS = 3;
 /** As long as the path of an announcement allows. */
 const LONGEST_NAME = 200;
+/** More than daemons keep of a body, and less than the configuration allows. */
+const LONG_BODY_BYTES = 90_000;
 
 interface Ended {
   readonly code: number;
@@ -25,7 +27,7 @@
       upstream.behaviour.awayMs = 100;
       upstream.behaviour.fault = (_id, path) => (path === DEADLY ? 'end' : 'none');
     }
-    while (ends() < TELLING_ENDS) await fleet.ask(0, { path: DEADLY });
+    while (ends() < QUARANTINE_ENDS) await fleet.ask(0, { path: DEADLY });
     await Promise.all(fleet.nodes.map((_node, i) => untilHeld(i)));
     await untilServed();
   });
@@ -133,3 +135,51 @@
     for (const { daemon } of fleet.nodes) await until(() => daemon.quarantine.counts.held === 1);
   });
 });
+
+describe('a request that ends upstreams', () => {
+  let fleet: PlatformFleet;
+
+  const start = async (vms: readonly PlatformVm[], services: readonly string[]) => {
+    fleet = await PlatformFleet.start(
+      vms,
+      services.map(service => routeTo(service)),
+    );
+    for (const { upstream } of fleet.nodes)
+      upstream.behaviour.fault = (_id, path) => (path === DEADLY ? 'end' : 'none');
+  };
+  const ends = () => fleet.nodes.reduce((sum, { upstream }) => sum + upstream.ends.length, 0);
+  const untilHeld = async () => {
+    for (const { daemon } of fleet.nodes) await until(() => daemon.quarantine.counts.held === 1);
+  };
+
+  afterEach(() => fleet[Symbol.asyncDispose]());
+
+  it('is held back also if its body is longer than what daemons keep', async () => {
+    const vms = [{ service: 'history' }, { service: 'history' }, { service: 'history' }];
+    await start(vms, ['history']);
+    const question = { path: DEADLY, method: 'POST', body: 'x'.repeat(LONG_BODY_BYTES) };
+    // One that meets an upstream that is away already is told that it has not run: a stream can't be sent again.
+    for (let i = 0; ends() < QUARANTINE_ENDS; i++) await fleet.ask(i % 3, question);
+    await untilHeld();
+    expect((await fleet.ask(1, question)).status).to.equal(503);
+    expect(ends()).to.equal(QUARANTINE_ENDS);
+  });
+
+  it('is held back also if it is a call of upstreams that don’t end themselves', async () => {
+    const calling = { calls: [{ host: 'alarms.example', path: DEADLY }] };
+    const vms = [
+      { service: 'alarms' },
+      { service: 'alarms' },
+      { service: 'alarms' },
+      { service: 'history', behaviour: calling },
+    ];
+    await start(vms, ['history', 'alarms']);
+    for (let i = 0; ends() < QUARANTINE_ENDS; i++)
+      expect((await fleet.ask(3, { path: `/own/${String(i)}` })).status).to.equal(500);
+    await untilHeld();
+    const before = ends();
+    expect((await fleet.ask(3, { path: '/own/again' })).status).to.equal(500);
+    expect(ends()).to.equal(before);
+    expect(fleet.nodes[3]!.upstream.ends).to.deep.equal([]);
+  });
+});
