Clear a request of all ends that are known, however many

Callers would have seen: a popular request refused after more than eight upstreams of its service had ended at once, since an answer cleared it of eight ends, and what is refused gets no further answers. Cause: a finding names a bounded number of starts, and the rest was left out without a word. Class: a bound that cuts off silently. Change: as many findings as it takes; a verdict explains all ends that are known here, not only those that it names. Measured: quarantine.spec.ts, 20 ends: held at four of four daemons after an answer before, free after.

--- a/packages/quarantine/src/findings.ts
+++ b/packages/quarantine/src/findings.ts
@@ -4,7 +4,7 @@
 import { type Verdict, isHeld } from './verdicts.js';
 
 const FINGERPRINT_BYTES = FINGERPRINT_DIGITS / 2;
-/** Starts of one finding, at most; further ones say nothing new. */
+/** Starts of one finding, at most: it has to fit into a datagram. */
 const MOST_STARTS = 8;
 const LONGEST_START = 64;
 /** Characters of what a request asks, as it is told. */
@@ -28,6 +28,14 @@
   };
 }
 
+/** What clears a request of starts: as many findings as these take. */
+export function findingsOfClearance(fingerprint: string, starts: readonly string[]): Finding[] {
+  const count = Math.ceil(starts.length / MOST_STARTS);
+  return Array.from({ length: count }, (_, i) =>
+    findingOf('ENDED_WELL', starts.slice(i * MOST_STARTS, (i + 1) * MOST_STARTS), [fingerprint]),
+  );
+}
+
 /** A verdict as it is told. */
 export function findingOfVerdict(verdict: Verdict): Finding {
   const { starts, fingerprint, revision, asks } = verdict;
--- a/packages/quarantine/src/quarantine.ts
+++ b/packages/quarantine/src/quarantine.ts
@@ -10,7 +10,14 @@
 import { type Finding } from '@cleatquay/protocol';
 import { Evidence } from './evidence.js';
 import { type AskedHead } from './fingerprint.js';
-import { LONGEST_ASKS, findingOf, findingOfVerdict, fingerprintsIn, isUsableFinding } from './findings.js';
+import {
+  LONGEST_ASKS,
+  findingOf,
+  findingOfVerdict,
+  findingsOfClearance,
+  fingerprintsIn,
+  isUsableFinding,
+} from './findings.js';
 import { type QuarantineRow, type QuarantineTable } from './quarantineTable.js';
 import { RecentAnswers } from './recentAnswers.js';
 import { RecordKeeper } from './recordKeeper.js';
@@ -222,7 +229,7 @@
   /** The request ended well: it is cleared of all ends that are known so far. */
   private endedWell(fingerprint: string): void {
     const starts = this.evidence.startsUnder(fingerprint);
-    if (starts.length > 0) this.tell(findingOf('ENDED_WELL', starts, [fingerprint]));
+    for (const finding of findingsOfClearance(fingerprint, starts)) this.tell(finding);
   }
 
   private clearOf(fingerprint: string, starts: readonly string[]): boolean {
@@ -272,8 +279,9 @@
     const { fingerprint, starts } = verdict;
     const asks = this.descriptions.get(fingerprint) ?? verdict.asks;
     if (!this.verdicts.put({ ...verdict, starts: starts.slice(0, MOST_NAMED_STARTS), asks })) return false;
-    if (isHeld(verdict)) this.evidence.attribute(fingerprint, starts);
-    else this.evidence.clearOf(fingerprint, [...starts, ...this.evidence.startsUnder(fingerprint)]);
+    const all = [...starts, ...this.evidence.startsUnder(fingerprint)];
+    if (isHeld(verdict)) this.evidence.attribute(fingerprint, all);
+    else this.evidence.clearOf(fingerprint, all);
     const message = isHeld(verdict) ? 'A request is held back.' : 'A request is released.';
     this.options.log(message, { fingerprint, asks, starts, from });
     if (from !== 'the record' && this.keeper.saw(starts)) void this.keeper.write().catch(() => undefined);
--- a/tests/quarantine.spec.ts
+++ b/tests/quarantine.spec.ts
@@ -18,6 +18,8 @@
 const LONG_MS = 5000;
 /** More than a verdict names. */
 const LATER_ENDS = 8;
+/** More than one finding names. */
+const MANY_ENDS = 20;
 /** A verdict waits for word that clears the request. */
 const DECIDED_MS = 300;
 const RUNS = 500;
@@ -111,6 +113,12 @@
       expect(fleet.standings(fingerprint)).to.deep.equal(all('free'));
     });
 
+    it('when it ran at many ends at once and is answered again', async () => {
+      for (let i = 0; i < MANY_ENDS; i++) await fleet.end(i % DAEMONS, `many${String(i)}@1`, [HARMLESS]);
+      answer(3, HARMLESS);
+      expect(fleet.standings(HARMLESS)).to.deep.equal(all('free'));
+    });
+
     it('for ends that are found to be due to another one', async () => {
       await fleet.end(0, 'u0@1', [DEADLY, HARMLESS]);
       await fleet.end(1, 'u1@1', [DEADLY, HARMLESS]);
