Move two more stories of tuning out of comments

Change: waits and pauses of readers; their figures stand in docs/DECISIONS.md. Nothing is measured anew.

--- a/packages/daemon/src/readers.ts
+++ b/packages/daemon/src/readers.ts
@@ -25,16 +25,14 @@
 /**
  * The waits of all readers of the fleet end so far from each other, ms, however many they are. An open connection to the platform may fall
  * silent for good while new ones work, which shows only when a wait has ended: one of them does within this time, and its daemon tells the
- * others. A change is to be in force within 2 s, and within 3 s of such a silence. Each daemon drew 4 to 8 s for itself before: a change that
- * came after a silence that came after another change was in force after 6.2 to 6.8 s with four daemons; now after 2.5 to 2.7 s
- * (changesInForce.spec.ts). Shorter ones cost calls: one a second for the whole fleet.
+ * others. A change is to be in force within 2 s, and within 3 s of such a silence. Shorter ones cost calls: there is
+ * one a second for the whole fleet.
  */
 const WAIT_STEP_MS = 1000;
 /**
  * Pause after a read that failed, ms for each reader of the failure domain: one of them asks about so often, below the 2 s within which a change has to
- * be in force after the platform's return, and they ask no more often the more of them there are. Eight daemons asked 17 to 19 times in the first 5 s
- * of an outage (the fleet of storeCalls.spec.ts, 12 plays; 19 to 22 times with 800 ms). While the platform rejects other daemons each second, a change may have to wait
- * for the end of a pause, 4 s with four daemons, within the 7 s that it may take then.
+ * be in force after the platform's return, and they ask no more often the more of them there are. While the platform rejects other
+ * daemons each second, a change may have to wait for the end of a pause.
  */
 const PAUSE_STEP_MS = 1000;
 /** A daemon that is no reader waits as long as one of so many readers. */
