Pass news on twice more, so that it misses nobody

Cause: callers' requests may go to a leaving upstream for as long as a daemon has not heard of its leaving.

Change: eight times; the two more travel on datagrams that are sent anyway. The test plays twenty fleets besides.

--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -37,7 +37,7 @@
  * How often a daemon passes a piece of news on: at least so often, and so many times the binary logarithm of the fleet's size. More
  * often costs far more bytes and reaches hardly anybody else.
  */
-const FEWEST_TRANSMISSIONS = 6;
+const FEWEST_TRANSMISSIONS = 8;
 const TRANSMISSIONS = 0.75;
 /**
  * Up to so many daemons that were learned of are all met at once. Each answers with all that it knows, so that a fleet of hundreds that met
--- a/tests/membership.spec.ts
+++ b/tests/membership.spec.ts
@@ -49,6 +49,20 @@
     expect(views).to.deep.equal(Array(COUNT).fill(true));
   });
 
+  it('misses nobody with that in twenty fleets', async () => {
+    for (let i = 0; i < 20; i++) {
+      await using network = await joined(`drain-${String(i)}`);
+      const draining = network.addresses[3]!;
+      const upstream = { service: 's', address: draining, slots: 1, connections: 1, draining: true };
+      network.get(draining).setUpstreams([upstream]);
+      await network.pass(2000);
+      const heard = network.addresses.filter(
+        a => network.get(a).table.get(draining)?.upstreams[0]?.draining === true,
+      );
+      expect(heard).to.have.lengthOf(COUNT);
+    }
+  });
+
   it('takes a replaced VM at the same address for a new one', async () => {
     await using network = await joined('replace');
     const address = network.addresses[5]!;
