Know whose a request is, and honour no key for longer than its bound after it was taken away

Cause: organisations were dropped by the decoder of the configuration. A request with an unknown key ran, the caller's key was passed on, no upstream heard whose request it ran, and a key that was taken away went on working, for ever at a daemon that is cut off.

Change: keys are turned into digests where the configuration and the request are read, and go no further; the organisation's name travels with the call in its place; its rank goes before the route's. Credentials that are missing, malformed, doubled or long: 401, CQ1015; unknown ones: CQ1016. Each daemon knows how lately its configuration was the newest (Freshness): counted from when a read of the platform was begun, handed on as an age in answers to probes, counted from when the question was asked, by the clock that went on more. Readers of the platform wait an eighth of the bound at most where keys are needed. Probes moved to a module of their own; their numbers begin at random, so that a late answer to a former process proves nothing.

--- a/packages/calls/src/entry.ts
+++ b/packages/calls/src/entry.ts
@@ -315,6 +315,7 @@
       originService: '',
       isRepeat: false,
       callsBefore: 0,
+      organisation: '',
     };
   }
 }
--- a/packages/calls/src/relay.ts
+++ b/packages/calls/src/relay.ts
@@ -6,6 +6,7 @@
 import { strictLevelOf } from '@cleatquay/admission';
 import { CALLER_LEFT, type CancelSignal, Cancellation, type Clock, type Random } from '@cleatquay/clock';
 import { type CallContext, type Refusal, type RequestHead, endOf, refusalOf } from '@cleatquay/protocol';
+import { type Credentials, type Organisation } from '@cleatquay/organisations';
 import { type HostRoute, type HostRoutes } from '@cleatquay/routes';
 import { type CallAnswer, type CallBody, type CallRoute, answerOf } from './callHandler.js';
 import { type Forwarder } from './forwarder.js';
@@ -24,6 +25,8 @@
   readonly headers: HeaderBlock;
   /** The caller's own id of this attempt. */
   readonly requestId: string;
+  /** What the caller shows of itself, where requests need keys. */
+  readonly credentials: Credentials;
   /** Time that the caller will wait, ms; undefined if it didn't say. */
   readonly remainingMs: number | undefined;
   /** Id of the request that it may be a call for, if it is one of the upstream on this VM. */
@@ -40,6 +43,8 @@
   readonly forwarder: Pick<Forwarder, 'forward'>;
   /** Service of the upstream on this VM. */
   readonly originService: string;
+  /** Whether it is known that no key was taken away that the configuration in force still has. */
+  readonly areKeysProven: () => boolean;
   /** Fresh requests at or above this level are refused at once: the process has no time for them. */
   readonly pressureLevel: () => number;
   /** Time until this daemon closes its connections, ms; infinite unless it is ending. */
@@ -62,13 +67,55 @@
     if (!routes || !route || service === undefined) return this.refuseUnroutable(request, routes, route);
     const parent = request.parentId === undefined ? undefined : this.options.running.get(request.parentId);
     if (parent) this.options.learned.saw(parent.route.name, { name: route.name, service });
-    const context = this.context(request, route, parent);
+    const sender = this.senderOf(request, routes, route, parent);
+    if ('code' in sender) return this.refuseSender(request, sender);
+    const rank = routes.rankOf(route, sender.organisation);
+    const context = this.context(request, { ...route, rank }, parent, sender.organisation);
     const isRefused = !parent && strictLevelOf(context.class, context.rootId) >= this.options.pressureLevel();
     if (isRefused) return this.refuseForPressure(context);
     if (context.remainingMs > this.options.timeLeftMs()) return this.refuseForEnd(context);
     return this.withinTimeout(request, context, route, service, new ReplayBody(source), signal);
   }
 
+  /**
+   * Finds out whose a request is, or why it can't be taken. A call of an upstream bears no key: it is part of a request that did.
+   *
+   * That keys are proven is asked once, here: the request was sent before, so that it is within the bound however long it waits from now on. Before it
+   * is known, an unknown key may be a new one.
+   */
+  private senderOf(
+    { credentials }: RelayedRequest,
+    { keyring }: HostRoutes,
+    route: HostRoute,
+    parent: RunningCall | undefined,
+  ): Sender | Refusal {
+    if (!keyring) return NOBODY;
+    const needsNone = route.isPublic || parent !== undefined;
+    if (typeof credentials === 'string') {
+      if (needsNone) return NOBODY;
+      const found = credentials === 'none' ? 'none' : 'something else';
+      return refusalOf('keyMissing', `Expected one key, found ${found}.`);
+    }
+    if (!this.options.areKeysProven()) return needsNone ? NOBODY : this.unproven();
+    const organisation = keyring.holderOf(credentials.keyDigest);
+    if (organisation) return { organisation };
+    return needsNone ? NOBODY : refusalOf('keyUnknown', 'No organisation holds the key.');
+  }
+
+  private unproven(): Refusal {
+    const message = 'This daemon has not heard for too long which keys were taken away.';
+    const retryAfterMs = Math.round(UNPROVEN_RETRY_MS * (0.5 + this.options.random()));
+    return refusalOf('keysUnproven', message, { retryAfterMs });
+  }
+
+  /** Nothing of the credentials is noted. */
+  private refuseSender({ requestId, host, path }: RelayedRequest, refusal: Refusal): CallAnswer {
+    this.options.journal.note(requestId, 'Taken.', { host, path });
+    const answer = answerOf(endOf(refusal, 0));
+    this.noteEnd(requestId, answer, 0);
+    return answer;
+  }
+
   private refuseForPressure({ requestId, class: rank }: CallContext): CallAnswer {
     const { journal, random } = this.options;
     journal.note(requestId, 'Refused at once: the daemon is short of processor time.', { class: rank });
@@ -167,7 +214,12 @@
   }
 
   /** A call has the importance of the request that it is for, so that both are refused or admitted at every hop. */
-  private context(request: RelayedRequest, route: HostRoute, parent: RunningCall | undefined): CallContext {
+  private context(
+    request: RelayedRequest,
+    route: HostRoute,
+    parent: RunningCall | undefined,
+    organisation: Organisation | undefined,
+  ): CallContext {
     return {
       requestId: request.requestId,
       try: 1,
@@ -184,16 +236,27 @@
       originService: this.options.originService,
       isRepeat: parent?.context.isRepeat ?? false,
       callsBefore: parent?.nextCall() ?? 0,
+      organisation: organisation?.name ?? '',
     };
   }
 }
 
+/** Whose a request is; no organisation's if it needs no key. */
+interface Sender {
+  readonly organisation: Organisation | undefined;
+}
+
+const NOBODY: Sender = { organisation: undefined };
+
 /** Answers from this status on are failures of the upstream, or of something that it called. */
 const FIRST_SERVER_ERROR = 500;
 
 /** The level falls by its range in 0.6 s and rises by it in 2 s: what is refused now has a chance after about a second. */
 const PRESSURE_RETRY_MS = 1000;
 
+/** Proofs come several times a second where the platform or a peer that reaches it can be reached; cuts last seconds. */
+const UNPROVEN_RETRY_MS = 1000;
+
 /** Callers find another daemon, or the next process of this one, which starts within about half a second. */
 const ELSEWHERE_SOON = { retryAfterMs: 500 };
 
--- a/packages/configuration/src/configurationWatch.ts
+++ b/packages/configuration/src/configurationWatch.ts
@@ -5,6 +5,7 @@
 import { type Clock } from '@cleatquay/clock';
 import { type Failure, asFailure } from '@cleatquay/errors';
 import { type Configuration } from './configuration.js';
+import { type Freshness, type Moment } from './freshness.js';
 import { type Sections } from './sections.js';
 
 /** How often a daemon that leaves the source to others looks whether it should follow it itself, ms. */
@@ -43,6 +44,8 @@
   readonly clock: Clock;
   readonly configuration: Configuration<unknown>;
   readonly source: ConfigurationSource;
+  /** Told what each read proves. */
+  readonly freshness: Freshness;
   /** Whether this daemon has to follow the source itself just now. */
   readonly isOnDuty: () => boolean;
   /** How long to wait for the next version, ms; `isFirst` where the last call brought one. */
@@ -109,18 +112,20 @@
   }
 
   private async takeNext(signal: AbortSignal): Promise<boolean> {
-    const { configuration } = this.options;
+    const { configuration, freshness } = this.options;
     const hasRead = this.next === 'read';
+    const begun = freshness.moment();
     try {
       const version = await this.ask(signal);
       this.next = version ? 'wait-after-version' : 'wait';
       this.found();
       if (version) configuration.adoptWhole(version.generation, version.sections, 'platform');
+      freshness.confirmed(begun);
       return true;
     } catch (error) {
       const failure = asFailure(error);
       if (signal.aborted) return false;
-      if (failure.result === 'configurationInvalid') return this.refused(failure);
+      if (failure.result === 'configurationInvalid') return this.refused(failure, begun);
       this.next = 'read';
       this.lost(failure, hasRead);
       return false;
@@ -133,8 +138,12 @@
     return source.next(waitMs(this.next === 'wait-after-version'), signal);
   }
 
-  /** The source answers, so that there is nothing to repeat until it has another version. */
-  private refused(failure: Failure): boolean {
+  /**
+   * The source answers, so that there is nothing to repeat until it has another version. What makes no sense takes nothing away: the version before
+   * stays in force, and is the newest that may be.
+   */
+  private refused(failure: Failure, begun: Moment): boolean {
+    this.options.freshness.confirmed(begun);
     this.next = 'wait';
     this.found();
     this.options.log('A version was refused.', { reason: failure.describe() });
--- a/packages/daemon/src/core.ts
+++ b/packages/daemon/src/core.ts
@@ -20,7 +20,8 @@
 } from '@cleatquay/calls';
 import { type CancelSignal, type Clock, type Random } from '@cleatquay/clock';
 import { Quarantine, type QuarantineTable } from '@cleatquay/quarantine';
-import { type KnownConfiguration, Membership, UdpDatagrams } from '@cleatquay/membership';
+import { type Freshness, type Moment } from '@cleatquay/configuration';
+import { type KnownConfiguration, Membership, type Proofs, UdpDatagrams } from '@cleatquay/membership';
 import {
   type ConfigurationAnswer,
   type ConfigurationRequest,
@@ -83,6 +84,8 @@
   /** Serves a call that is meant for this daemon as the home of its id. */
   readonly atHome: CallHandler;
   readonly configuration: (request: ConfigurationRequest) => ConfigurationAnswer;
+  /** How lately the configuration was the newest, where that is of use. */
+  readonly freshness?: Freshness;
   /** A peer, by its inner address, says which configuration it has. */
   readonly onConfiguration: (configuration: KnownConfiguration, peer: string) => void;
 }
@@ -140,6 +143,7 @@
         verdicts: () => this.quarantine.findings,
         heard: finding => this.quarantine.heard(finding),
       },
+      ...(options.freshness && { proofs: proofsOf(options.freshness) }),
       onConfiguration: (configuration, from) => this.heardConfiguration(configuration, from),
       onChange: member => {
         const { address, state, epoch, incarnation } = member;
@@ -286,6 +290,14 @@
   }
 }
 
+function proofsOf(freshness: Freshness): Proofs<Moment> {
+  return {
+    ageMs: () => freshness.ageMs,
+    asking: () => freshness.moment(),
+    heard: (proof, asked) => freshness.heard(proof, asked),
+  };
+}
+
 function serving({ core }: { core?: Core }): Core {
   if (core) return core;
   throw new Error('The daemon is still starting.');
--- a/packages/daemon/src/readers.ts
+++ b/packages/daemon/src/readers.ts
@@ -37,6 +37,8 @@
 const PAUSE_STEP_MS = 1000;
 /** A daemon that is no reader waits as long as one of so many readers. */
 const USUAL_READERS = 6;
+/** Daemons that ask one other how lately its configuration was the newest, at most; readers have as many each. */
+const ASKERS = 16;
 /** A daemon that has heard nobody for so long reads for itself, ms: others ask and answer it about twice a second. */
 const ALONE_AFTER_MS = 1500;
 
@@ -45,16 +47,26 @@
  * views that differ only cost some reads.
  */
 export function readersOf(failureDomain: string, members: Iterable<Member>): string[] {
-  const ranked: { readonly address: string; readonly rank: number; readonly isPlatformLost: boolean }[] = [];
+  const first = ranksOf(failureDomain, members).slice(0, READERS + STAND_INS);
+  const reaching = first.filter(({ isPlatformLost }) => !isPlatformLost);
+  const chosen = reaching.length > 0 ? reaching.slice(0, READERS) : first;
+  return chosen.map(({ address }) => address);
+}
+
+interface Ranked {
+  readonly address: string;
+  readonly rank: number;
+  readonly isPlatformLost: boolean;
+}
+
+/** The daemons of a failure domain that are up, in an order that all share. */
+function ranksOf(failureDomain: string, members: Iterable<Member>): Ranked[] {
+  const ranked: Ranked[] = [];
   for (const { address, failureDomain: domain, state, isPlatformLost } of members) {
     if (state === 'ALIVE' && domain === failureDomain)
       ranked.push({ address, rank: crc32(address), isPlatformLost });
   }
-  ranked.sort((a, b) => a.rank - b.rank);
-  const first = ranked.slice(0, READERS + STAND_INS);
-  const reaching = first.filter(({ isPlatformLost }) => !isPlatformLost);
-  const chosen = reaching.length > 0 ? reaching.slice(0, READERS) : first;
-  return chosen.map(({ address }) => address);
+  return ranked.sort((a, b) => a.rank - b.rank);
 }
 
 /** The readers as one daemon sees them. */
@@ -104,6 +116,21 @@
     return (isFirst ? place + 1 : readers.length) * WAIT_STEP_MS;
   }
 
+  /**
+   * Whom this daemon asks how lately their configuration was the newest: the readers of its failure domain, or in a large one a daemon nearer to them, so that
+   * nobody is asked by many.
+   */
+  get provers(): readonly string[] {
+    const { near } = this;
+    const others = near.filter(address => address !== this.membership.me.address);
+    const ranked = ranksOf(this.failureDomain, this.membership.table.all());
+    const place = ranked.findIndex(({ address }) => address === this.membership.me.address);
+    if (place < (ASKERS + 1) * near.length) return others;
+    return ranked
+      .slice(Math.floor(place / ASKERS), Math.floor(place / ASKERS) + 1)
+      .map(({ address }) => address);
+  }
+
   /** How long this daemon pauses after a read of the platform that failed, ms. */
   get pauseMs(): number {
     return Math.max(1, this.near.length) * PAUSE_STEP_MS;
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -16,6 +16,7 @@
   type ConfigurationSource,
   ConfigurationSpread,
   ConfigurationWatch,
+  Freshness,
   type Sections,
 } from '@cleatquay/configuration';
 import { Failure } from '@cleatquay/errors';
@@ -32,6 +33,7 @@
 import { HttpListeners, addressOf, serverOf, startServers } from './httpListeners.js';
 import { Metrics } from './metrics.js';
 import { operatorGateway } from './operatorGateway.js';
+import { ProofRounds } from './proofRounds.js';
 import { quietBroker } from './quietBroker.js';
 import { type CallerDialect, RelayGateway } from './relayGateway.js';
 import { addQuarantineGauges } from './quarantineGauges.js';
@@ -92,6 +94,7 @@
 export class RelayDaemon implements AsyncDisposable {
   readonly metrics = new Metrics();
   readonly configuration: Configuration<HostRoutes>;
+  private readonly freshness: Freshness;
   private readonly broker: ServiceBroker = quietBroker();
   private readonly configurationLog: Logger;
   private readonly gateway: RelayGateway;
@@ -105,6 +108,8 @@
   private meeting!: Meeting;
   private watch!: ConfigurationWatch;
   private spread!: ConfigurationSpread;
+  /** Undefined where keys need no proof. */
+  private proofs: ProofRounds | undefined;
   private readonly listeners = new HttpListeners(this.broker);
   private inFlight = 0;
   /** Importance classes of the configuration in force. */
@@ -149,10 +154,12 @@
       sections => new HostRoutes(installation.plan(sections), random, this.configuration.inForce),
       adoption => this.adopted(adoption),
     );
+    this.freshness = new Freshness(clock, this.configuration);
     this.gateway = new RelayGateway({
       relay: { handle: (...call) => this.relay.handle(...call) },
       dialect: installation.callers,
       limits: () => this.configuration.inForce?.plan.limits,
+      needsKeys: () => this.needsKeys,
       isLeaving: () => this.leavingSince !== undefined,
       turns: this.turns,
       started: () => this.started(),
@@ -165,6 +172,7 @@
     daemon.core = await daemon.startCore();
     daemon.relay = daemon.makeRelay();
     daemon.readers = new Readers(parts.clock, daemon.membership, parts.settings.failureDomain);
+    daemon.proofs = daemon.makeProofs();
     daemon.meeting = daemon.makeMeeting();
     daemon.watch = daemon.makeWatch();
     daemon.spread = daemon.makeSpread();
@@ -190,6 +198,10 @@
     return this.core.quarantine;
   }
 
+  private get needsKeys(): boolean {
+    return this.configuration.inForce?.keyring !== undefined;
+  }
+
   /** Where its listeners are, by name. */
   get addresses(): ReadonlyMap<string, string> {
     return this.listeners.addresses;
@@ -248,6 +260,7 @@
     this.listeners.closeConnections();
     await this.broker.stop();
     await this.watch[Symbol.asyncDispose]();
+    await this.proofs?.[Symbol.asyncDispose]();
     await this.meeting[Symbol.asyncDispose]();
     await this.spread[Symbol.asyncDispose]();
     await this.core[Symbol.asyncDispose]();
@@ -291,6 +304,7 @@
         return Promise.resolve(answerOf(endOf(refusal, 0)));
       },
       configuration: question => this.configuration.answer(question),
+      freshness: this.freshness,
       onConfiguration: (heard, peer) => this.spread.heard(heard, peer),
     });
   }
@@ -306,6 +320,7 @@
       originService: settings.service,
       running: this.core.running,
       learned: this.learned,
+      areKeysProven: () => this.proofs?.isProven ?? true,
       pressureLevel: () => this.pressure.level,
       timeLeftMs: () => this.endsAt - clock.now(),
       random,
@@ -356,14 +371,31 @@
       clock,
       configuration: this.configuration,
       source: installation.source,
+      freshness: this.freshness,
       isOnDuty: () => this.readers.isOnDuty,
-      waitMs: isFirst => this.readers.waitMs(isFirst),
+      waitMs: isFirst =>
+        Math.min(this.readers.waitMs(isFirst), this.proofs?.longestWaitMs ?? Number.POSITIVE_INFINITY),
       pauseMs: () => this.readers.pauseMs,
       onReach: isReached => this.membership.setPlatformLost(!isReached),
       log: (message, facts) => this.configurationLog.info(facts, `Configuration: ${message}`),
     });
   }
 
+  private makeProofs(): ProofRounds | undefined {
+    const { clock, random, settings } = this.parts;
+    if (settings.revocationMs === undefined) return undefined;
+    return new ProofRounds({
+      clock,
+      random,
+      freshness: this.freshness,
+      readers: this.readers,
+      membership: this.membership,
+      boundMs: settings.revocationMs,
+      needsKeys: () => this.needsKeys,
+      log: (message, facts) => this.configurationLog.info(facts, `Configuration: ${message}`),
+    });
+  }
+
   private makeSpread(): ConfigurationSpread {
     const { clock, random } = this.parts;
     return new ConfigurationSpread({
@@ -409,16 +441,16 @@
     this.membership.setOperatorAddress(addressOf(settings.ip, serverOf(operators)));
     this.membership.start();
     this.watch.start();
+    this.proofs?.start();
     this.meeting.start();
     void Promise.race([this.meeting.met, clock.sleep(MEETING_PATIENCE_MS)]).then(() => (this.hasMet = true));
   }
 
   private adopted(adoption: Adoption): void {
     logAdoption(this.configurationLog, adoption);
-    const routes = this.configuration.inForce?.plan.routes ?? [];
-    this.classes = routes.reduce((most, { rank }) => Math.max(most, rank + 1), 1);
+    this.classes = this.configuration.inForce?.classes ?? 1;
     this.core.membership.setConfiguration(this.configuration);
-    this.gateway.applyLimits();
+    this.gateway.applyConfiguration();
   }
 
   private started(): (refusal: Refusal | undefined) => void {
--- a/packages/daemon/src/relayGateway.ts
+++ b/packages/daemon/src/relayGateway.ts
@@ -9,6 +9,7 @@
 } from '@cleatquay/calls';
 import { Failure, asFailure } from '@cleatquay/errors';
 import { type Refusal, refusalOf } from '@cleatquay/protocol';
+import { type Credentials, credentialsIn } from '@cleatquay/organisations';
 import { type RouteLimits } from '@cleatquay/routes';
 import { type IncomingMessage, type Server, type ServerResponse, createServer } from 'node:http';
 import { type AnswerWriter, CALLER_GONE, writeAnswer, writeHttpParserError } from './callerAnswer.js';
@@ -34,6 +35,8 @@
   readonly remainingMs: (request: IncomingMessage) => number | undefined;
   /** Names, in lower case, of headers that are not passed on as they came. */
   readonly consumed: ReadonlySet<string>;
+  /** Name, in lower case, of the header that bears the caller's key, where requests need one. */
+  readonly credentials: string;
   readonly writer: AnswerWriter;
 }
 
@@ -42,17 +45,23 @@
   readonly relay: Pick<Relay, 'handle'>;
   readonly dialect: CallerDialect;
   readonly limits: () => RouteLimits | undefined;
+  /** Whether requests need keys. */
+  readonly needsKeys: () => boolean;
   readonly isLeaving: () => boolean;
   readonly turns: WorkTurns;
   /** Told of each request; the result is to be called when it has ended. */
   readonly started: () => (refusal: Refusal | undefined) => void;
 }
 
-/** An HTTP server for callers; `applyLimits` takes over those of a new configuration. */
+/** An HTTP server for callers; `applyConfiguration` takes over what a new configuration says. */
 export class RelayGateway {
   readonly server: Server;
+  private readonly consumedWithKeys: ReadonlySet<string>;
+  private hasNeededKeys = false;
 
   constructor(private readonly options: RelayGatewayOptions) {
+    const { consumed, credentials } = options.dialect;
+    this.consumedWithKeys = new Set([...consumed, credentials]);
     this.server = createServer(
       { maxHeaderSize: MOST_HEADER_BYTES, requestTimeout: 0 },
       (request, response) => {
@@ -60,11 +69,12 @@
       },
     );
     this.server.on('clientError', (error, socket) => writeHttpParserError(error, socket));
-    this.applyLimits();
+    this.applyConfiguration();
   }
 
-  /** Puts the time limits in force for connections from now on. */
-  applyLimits(): void {
+  /** Puts a new configuration in force: time limits for connections from now on, and whether headers bear keys. */
+  applyConfiguration(): void {
+    this.hasNeededKeys ||= this.options.needsKeys();
     const { headerTimeoutMs, idleTimeoutMs } = this.limits;
     this.server.headersTimeout = headerTimeoutMs;
     this.server.keepAliveTimeout = idleTimeoutMs;
@@ -110,13 +120,27 @@
       host: request.headers.host ?? '',
       method: request.method ?? 'GET',
       path: request.url ?? '/',
-      headers: passedRawHeaders(request.rawHeaders, dialect.consumed),
+      headers: passedRawHeaders(request.rawHeaders, this.consumed()),
+      credentials: this.credentialsOf(request),
       requestId,
       remainingMs: remainingMs === undefined ? undefined : remainingMs - waitedMs,
       parentId: dialect.parentId(requestId),
     };
   }
 
+  /**
+   * Callers go on sending their keys when a configuration needs none any more: a header that once bore keys isn't passed on for as long as this
+   * process lives.
+   */
+  private consumed(): ReadonlySet<string> {
+    return this.hasNeededKeys ? this.consumedWithKeys : this.options.dialect.consumed;
+  }
+
+  private credentialsOf({ rawHeaders }: IncomingMessage): Credentials {
+    const { dialect, needsKeys } = this.options;
+    return needsKeys() ? credentialsIn(rawHeaders, dialect.credentials) : 'none';
+  }
+
   private bodyOf(request: IncomingMessage): CallBody {
     const { 'content-length': length, 'transfer-encoding': encoding } = request.headers;
     if (length === undefined && encoding === undefined) return EMPTY_BODY;
--- a/packages/daemon/src/relaySettings.ts
+++ b/packages/daemon/src/relaySettings.ts
@@ -15,5 +15,7 @@
   /** Time from the request to end until the process is killed, ms. */
   readonly graceMs: number;
   readonly retries: FleetRetryBounds;
+  /** How long after it was taken away a key may be honoured by any daemon, ms; undefined where only daemons in contact have to keep up. */
+  readonly revocationMs: number | undefined;
   readonly logLevel: string;
 }
--- a/packages/errors/src/resultCodes.ts
+++ b/packages/errors/src/resultCodes.ts
@@ -47,6 +47,8 @@
   innerMessageInvalid: row(1012, 400, 'not-run', 'Check that all daemons run compatible versions.'),
   requestIdInvalid: row(1013, 400, 'not-run', 'Use an id that a daemon issued, unchanged.'),
   usageInvalid: row(1014, 400, 'not-run', 'See cleatquay --help.'),
+  keyMissing: row(1015, 401, 'not-run', 'Send one key, as "Authorization: Bearer KEY".'),
+  keyUnknown: row(1016, 401, 'not-run', 'Ask the operators for a key: no organisation holds this one.'),
   overloaded: row(2001, 503, 'not-run', 'Come back after the time in Retry-After.'),
   refusedEarly: row(2002, 503, 'not-run', 'Come back after the time in Retry-After.'),
   draining: row(2003, 503, 'not-run', 'Ask another daemon; this one is leaving.'),
@@ -70,6 +72,12 @@
     'not-run',
     'Upstreams ended while they ran this request: correct what it asks, or have an operator release it.',
   ),
+  keysUnproven: row(
+    2014,
+    503,
+    'not-run',
+    'Come back after the time in Retry-After, best at another daemon: this one is cut off from the platform.',
+  ),
   requestTimedOut: row(
     3007,
     504,
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -2,7 +2,13 @@
  * Which daemons are alive, and what upstreams they stand beside, by gossip over UDP.
  * After SWIM (Das, Gupta, Motivala, DSN 2002), with the local health of Lifeguard (Dadgar, Phillips, Currey, 2018).
  */
-export { type Findings, type KnownConfiguration, Membership, type MembershipOptions } from './membership.js';
+export {
+  type Findings,
+  type KnownConfiguration,
+  type Proofs,
+  Membership,
+  type MembershipOptions,
+} from './membership.js';
 export { MemberTable } from './memberTable.js';
 export { type Datagrams, UdpDatagrams } from './datagrams.js';
 export {
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -15,6 +15,7 @@
 import { type Datagrams } from './datagrams.js';
 import { LocalHealth } from './localHealth.js';
 import { MemberTable } from './memberTable.js';
+import { Probes } from './probes.js';
 
 const PERIOD_MS = 1000;
 const ACK_TIMEOUT_MS = 300;
@@ -56,6 +57,16 @@
   readonly shortDigest: number;
 }
 
+/** How lately each daemon's configuration was the newest, as it travels on answers to probes. */
+export interface Proofs<Asked> {
+  /** How long ago that of this daemon was, ms; infinite if it never was. */
+  readonly ageMs: () => number;
+  /** The present moment, kept with a question until its answer comes. */
+  readonly asking: () => Asked;
+  /** A member answers a question that was asked then. */
+  readonly heard: (proof: KnownConfiguration & { readonly ageMs: number }, asked: Asked) => void;
+}
+
 /** What daemons find out about requests under which upstreams end, as gossip sees it. */
 export interface Findings {
   /** Digest of the verdicts that are known here; 0 for none. */
@@ -67,7 +78,7 @@
 }
 
 /** What a daemon brings to its membership. */
-export interface MembershipOptions {
+export interface MembershipOptions<Asked = unknown> {
   readonly clock: Clock;
   readonly random: Random;
   readonly datagrams: Datagrams;
@@ -76,6 +87,7 @@
   /** Told when a member says which configuration it has. */
   readonly onConfiguration: (configuration: KnownConfiguration, from: string) => void;
   readonly findings?: Findings;
+  readonly proofs?: Proofs<Asked>;
   /** Told of every change of a member other than this one. */
   readonly onChange: (member: Member) => void;
   /** Whether datagrams to and from this gossip address are cut off; a hook for tests. */
@@ -83,15 +95,14 @@
 }
 
 /** This daemon's view of the fleet. */
-export class Membership implements AsyncDisposable {
+export class Membership<Asked = unknown> implements AsyncDisposable {
   readonly table = new MemberTable();
   readonly health = new LocalHealth();
   readonly traffic = { sentBytes: 0, receivedBytes: 0, sentDatagrams: 0, invalid: 0 };
   private self: Member;
   private configuration: KnownConfiguration = { generation: 0, shortDigest: 0 };
   private heardAt: number;
-  private sequence = 0;
-  private readonly acks = new Map<number, (answered: boolean) => void>();
+  private readonly probes: Probes<Asked | undefined>;
   private readonly suspicions = new Map<string, Timer>();
   private readonly goneSince = new Map<string, number>();
   private readonly broadcasts = new Broadcasts<Member>({
@@ -111,10 +122,11 @@
   private syncAgain: Timer | undefined;
   private running: Promise<void> = Promise.resolve();
 
-  constructor(private readonly options: MembershipOptions) {
+  constructor(private readonly options: MembershipOptions<Asked>) {
     this.self = { ...options.self, incarnation: 1, state: 'ALIVE', upstreams: [], isPlatformLost: false };
     this.table.put(this.self);
     this.heardAt = options.clock.now();
+    this.probes = new Probes(options.clock, options.random, () => options.proofs?.asking());
     options.datagrams.receive(bytes => this.receive(bytes));
   }
 
@@ -188,7 +200,7 @@
     this.eager?.[Symbol.dispose]();
     this.eagerAgain?.[Symbol.dispose]();
     this.syncAgain?.[Symbol.dispose]();
-    for (const settle of [...this.acks.values()]) settle(false);
+    this.probes[Symbol.dispose]();
     for (const timer of this.suspicions.values()) timer[Symbol.dispose]();
     await this.running;
   }
@@ -225,34 +237,23 @@
     const timeout = ACK_TIMEOUT_MS * this.health.multiplier;
     if (await this.ping(target.gossipAddress, timeout)) return this.health.good();
     const helpers = this.randomAlive(INDIRECT_PROBES, target.address);
-    const sequence = ++this.sequence;
-    const answered = this.awaitAck(sequence, timeout);
-    for (const helper of helpers)
-      this.send(helper.gossipAddress, { ping: { sequence, target: target.gossipAddress } });
+    const answered = this.probes.ask(timeout, sequence => {
+      const ping = { sequence, target: target.gossipAddress };
+      for (const helper of helpers) this.send(helper.gossipAddress, { ping });
+    });
     if (await answered) return this.health.good();
     this.health.bad();
     const overslept = clock.now() - start > 2 * timeout + PERIOD_MS;
     if (!overslept) this.suspect(target);
   }
 
+  /** Asks a member how lately its configuration was the newest; the answer goes where those to all probes go. */
+  ask(gossipAddress: string): void {
+    void this.ping(gossipAddress, ACK_TIMEOUT_MS);
+  }
+
   private ping(to: string, timeout: number): Promise<boolean> {
-    const sequence = ++this.sequence;
-    const answered = this.awaitAck(sequence, timeout);
-    this.send(to, { ping: { sequence, target: '' } });
-    return answered;
-  }
-
-  private awaitAck(sequence: number, timeout: number): Promise<boolean> {
-    if (this.stopped.signal.aborted) return Promise.resolve(false);
-    return new Promise(resolve => {
-      const settle = (answered: boolean) => {
-        timer[Symbol.dispose]();
-        this.acks.delete(sequence);
-        resolve(answered);
-      };
-      const timer = this.options.clock.after(timeout, () => settle(false));
-      this.acks.set(sequence, settle);
-    });
+    return this.probes.ask(timeout, sequence => this.send(to, { ping: { sequence, target: '' } }));
   }
 
   private suspect(target: Member): void {
@@ -355,7 +356,7 @@
     this.takeFindings(gossip);
     const { generation, digest: shortDigest, from } = gossip;
     if (generation > 0) this.options.onConfiguration({ generation, shortDigest }, from);
-    if (gossip.ack) this.handleAck(gossip.ack);
+    if (gossip.ack) this.handleAck(gossip.ack, { generation, shortDigest });
     if (gossip.ping) this.handlePing(gossip.ping, gossip.from);
     if (gossip.sync) this.handleSync(gossip.sync, gossip.from);
   }
@@ -376,15 +377,22 @@
     while (verdicts.length > 0) this.send(from, {}, [], verdicts.splice(0, VERDICTS_A_DATAGRAM));
   }
 
-  private handleAck(ack: Ack): void {
-    this.acks.get(ack.sequence)?.(true);
+  private handleAck({ sequence, proofAge }: Ack, configuration: KnownConfiguration): void {
+    const asked = this.probes.answered(sequence);
+    if (asked !== undefined && proofAge > 0)
+      this.options.proofs?.heard({ ...configuration, ageMs: proofAge - 1 }, asked);
+  }
+
+  private ackOf(sequence: number): Ack {
+    const ageMs = this.options.proofs?.ageMs() ?? Number.POSITIVE_INFINITY;
+    return { sequence, proofAge: ageMs < OLDEST_PROOF_MS ? Math.ceil(ageMs) + 1 : 0 };
   }
 
   private handlePing(ping: Ping, from: string): void {
     if (ping.target === '') return this.answerPing(ping, from);
     if (!isAddress(ping.target)) return;
     void this.ping(ping.target, ACK_TIMEOUT_MS).then(answered => {
-      if (answered) this.send(from, { ack: { sequence: ping.sequence } });
+      if (answered) this.send(from, { ack: this.ackOf(ping.sequence) });
     });
   }
 
@@ -392,7 +400,7 @@
   private answerPing(ping: Ping, from: string): void {
     const sender = this.table.atGossip(from);
     const news = sender && sender.state !== 'ALIVE' ? [sender] : undefined;
-    this.send(from, { ack: { sequence: ping.sequence } }, news);
+    this.send(from, { ack: this.ackOf(ping.sequence) }, news);
   }
 
   private handleSync(sync: Sync, from: string): void {
@@ -499,6 +507,8 @@
   return member.state === 'ALIVE' || member.state === 'SUSPECT';
 }
 
+/** Older proofs say nothing that anybody could use, ms. */
+const OLDEST_PROOF_MS = 60_000;
 const MEMBER_BYTES = 150;
 /** A verdict has up to 400 bytes. */
 const VERDICTS_A_DATAGRAM = 2;
--- a/packages/routes/src/hostRoutes.ts
+++ b/packages/routes/src/hostRoutes.ts
@@ -1,5 +1,7 @@
 /** Finds the route of a request by its host and the longest prefix of its path. */
 import { type Random } from '@cleatquay/clock';
+import { Keyring, type Organisation } from '@cleatquay/organisations';
+import { Ranks } from './ranks.js';
 import { type HostRoute, type RoutePlan, type ServicePlan } from './routePlan.js';
 import { WeightedSplit } from './weightedSplit.js';
 
@@ -8,6 +10,9 @@
   private readonly byHost = new Map<string, Map<string, HostRoute>>();
   private readonly splits = new Map<string, WeightedSplit>();
   private readonly services = new Map<string, ServicePlan>();
+  private readonly ranks: Ranks;
+  /** The keys that requests need; undefined where they need none. */
+  readonly keyring: Keyring | undefined;
 
   /** Splits go on from where `before` had them, if their weights are the same. */
   constructor(
@@ -24,6 +29,8 @@
       this.splits.set(route.name, known?.fits(route.parts) ? known : new WeightedSplit(route.parts, random));
     }
     for (const service of plan.services) this.services.set(service.name, service);
+    this.keyring = plan.organisations && new Keyring(plan.organisations);
+    this.ranks = new Ranks(plan);
   }
 
   /** The route with the longest prefix that begins the path; `path` may carry a query. */
@@ -45,6 +52,16 @@
     return this.splits.get(route.name)?.next();
   }
 
+  /** Number of ranks that requests may have. */
+  get classes(): number {
+    return this.ranks.count;
+  }
+
+  /** Rank of a request on the route; 0 is the most important. */
+  rankOf(route: HostRoute, organisation: Organisation | undefined): number {
+    return this.ranks.of(route.rank, organisation?.rank);
+  }
+
   /** What is declared of a service. */
   service(name: string): ServicePlan | undefined {
     return this.services.get(name);
--- a/packages/routes/src/routePlan.ts
+++ b/packages/routes/src/routePlan.ts
@@ -1,4 +1,5 @@
 /** What an operator declares of routes by host and path prefix, whatever the format that it came in. */
+import { type Organisation } from '@cleatquay/organisations';
 import { type RoutePart } from './weightedSplit.js';
 
 /** One route. */
@@ -15,6 +16,8 @@
   readonly targetLatencyMs: number;
   /** 0 is the most important. */
   readonly rank: number;
+  /** Whether requests need no key, also where organisations are declared. */
+  readonly isPublic: boolean;
   /** Services that share the route's requests, by weight. */
   readonly parts: readonly RoutePart[];
   /** Most upstreams that one request may be sent to. */
@@ -45,4 +48,6 @@
   readonly routes: readonly HostRoute[];
   readonly services: readonly ServicePlan[];
   readonly limits: RouteLimits;
+  /** Who may send requests; undefined where requests need no key. */
+  readonly organisations: readonly Organisation[] | undefined;
 }
--- a/packages/settings/src/check.ts
+++ b/packages/settings/src/check.ts
@@ -16,23 +16,38 @@
   }
 }
 
-/** Returns a copy of `data` as the schema's type, with defaults filled in, or fails naming the first bad field. */
-export function check<T extends TSchema>(schema: T, data: unknown, result: ResultName): Static<T> {
+/**
+ * Returns a copy of `data` as the schema's type, with defaults filled in, or fails naming the first bad field. What was found there is shown,
+ * unless it may hold something of the field `secret`.
+ */
+export function check<T extends TSchema>(
+  schema: T,
+  data: unknown,
+  result: ResultName,
+  secret?: string,
+): Static<T> {
   // What fits is found without compiling the schema, which would delay the start of a process.
   const filled: unknown = Value.Default(schema, structuredClone(data));
   if (Value.Check(schema, filled)) return filled;
-  return explain(schema, data, result);
+  return explain(schema, data, result, secret);
 }
 
 /** Compiles the schema, whose errors say more, for data that doesn't fit. */
-function explain<T extends TSchema>(schema: T, data: unknown, result: ResultName): Static<T> {
+function explain<T extends TSchema>(
+  schema: T,
+  data: unknown,
+  result: ResultName,
+  secret: string | undefined,
+): Static<T> {
   const copy: unknown = structuredClone(data);
   const validate = ajv.compile(schema);
   if (validate(copy)) return copy as Static<T>;
   const errors = validate.errors ?? [];
   const error = errors.find(e => e.keyword === 'additionalProperties') ?? errors[0];
   if (!error) throw new Failure('It does not fit the schema.', { result });
-  throw new Failure(describe(error), { result, field: fieldOf(error) });
+  const field = fieldOf(error);
+  const isHidden = secret !== undefined && ['', secret].includes(error.instancePath.split('/')[1] ?? '');
+  throw new Failure(isHidden ? 'Expected another value.' : describe(error), { result, field });
 }
 
 function fieldOf(error: ErrorObject): string {
--- a/tests/configurationWatch.spec.ts
+++ b/tests/configurationWatch.spec.ts
@@ -1,5 +1,5 @@
 import { ManualClock } from '@cleatquay/clock';
-import { Configuration, ConfigurationWatch, type SourcedVersion } from '@cleatquay/configuration';
+import { Configuration, ConfigurationWatch, Freshness, type SourcedVersion } from '@cleatquay/configuration';
 import { expect } from 'chai';
 
 const VERSION: SourcedVersion = { generation: 1, sections: new Map([['general', '{}']]) };
@@ -33,6 +33,7 @@
     watch = new ConfigurationWatch({
       clock,
       configuration,
+      freshness: new Freshness(clock, configuration),
       source: { read: ask, next: ask },
       isOnDuty: () => isOnDuty,
       waitMs: () => 1000,
--- a/tests/departedCallers.spec.ts
+++ b/tests/departedCallers.spec.ts
@@ -85,6 +85,7 @@
         },
         dialect: callerDialect,
         limits: () => undefined,
+        needsKeys: () => false,
         isLeaving: () => false,
         turns: new WorkTurns(clock, () => pressure.isLagging),
         started: () => () => undefined,
--- /dev/null
+++ b/tests/organisations.spec.ts
@@ -0,0 +1,284 @@
+import { differences } from '@cleatquay/configuration';
+import { type Organisation, Keyring, digestOfKey } from '@cleatquay/organisations';
+import { decodeConfiguration } from '@cleatquay/platform';
+import { type HostRoute, HostRoutes, joinPlan, planSections } from '@cleatquay/routes';
+import { expect } from 'chai';
+import {
+  PlatformFleet,
+  type WrittenOrganisation,
+  configurationText,
+  routeTo,
+  until,
+} from './fixtures/platformFleet.js';
+
+const DAIRY: WrittenOrganisation = { name: 'dairy', apiKeys: ['dairy-key-1', 'dairy-key-2'] };
+const PHARMACY: WrittenOrganisation = { name: 'pharmacy', apiKeys: ['pharmacy-key'] };
+const TWO_MICROSECONDS_MS = 0.002;
+const KEYS = [...DAIRY.apiKeys, ...PHARMACY.apiKeys];
+
+const bearing = (key: string) => ({ Authorization: `Bearer ${key}` });
+
+describe('organisations', () => {
+  describe('whose a request is', () => {
+    let fleet: PlatformFleet;
+
+    before(async () => {
+      const vms = ['history', 'history', 'alarms'].map(service => ({ service }));
+      const open = routeTo('alarms', { name: 'open', host: 'open.example', public: true });
+      fleet = await PlatformFleet.start(
+        vms,
+        [routeTo('history'), routeTo('alarms'), open],
+        [DAIRY, PHARMACY],
+      );
+    });
+
+    after(() => fleet[Symbol.asyncDispose]());
+
+    it('is told to the upstream by name, whatever the caller wrote, and never by key', async () => {
+      for (const node of fleet.nodes.keys()) {
+        const id = `named-${String(node)}`;
+        const headers = { ...bearing('pharmacy-key'), 'Tenant-Id': 'dairy', 'X-Kept': 'as it is' };
+        expect((await fleet.ask(node, { id, headers })).status).to.equal(200);
+        const [arrival] = fleet.arrivals(id);
+        expect(arrival?.headers['tenant-id']).to.equal('pharmacy');
+        expect(arrival?.headers.authorization).to.equal(undefined);
+        expect(arrival?.headers['x-kept']).to.equal('as it is');
+      }
+    });
+
+    it('is found by each of its keys', async () => {
+      for (const key of DAIRY.apiKeys) {
+        const id = `by-${key}`;
+        await fleet.ask(0, { id, headers: bearing(key) });
+        expect(fleet.arrivals(id)[0]?.headers['tenant-id']).to.equal('dairy');
+      }
+    });
+
+    it('stays the same when it is sent again to another upstream', async () => {
+      for (const { upstream } of fleet.nodes.slice(0, 2))
+        upstream.behaviour.fault = id =>
+          id === 'again' && fleet.arrivals(id).length === 1 ? 'shed' : 'none';
+      const answer = await fleet.ask(2, { id: 'again', headers: bearing('pharmacy-key') });
+      expect(answer.status).to.equal(200);
+      const names = fleet.arrivals('again').map(({ headers }) => headers['tenant-id']);
+      expect(names).to.deep.equal(['pharmacy', 'pharmacy']);
+    });
+
+    it('is nobody on a public route without a key, and there, too, the key goes no further', async () => {
+      const ask = (id: string, headers: Record<string, string>) =>
+        fleet.ask(0, { host: 'open.example', id, headers });
+      expect((await ask('open-1', { 'Tenant-Id': 'dairy' })).status).to.equal(200);
+      expect(fleet.arrivals('open-1')[0]?.headers['tenant-id']).to.equal(undefined);
+      expect((await ask('open-2', bearing('dairy-key-1'))).status).to.equal(200);
+      expect(fleet.arrivals('open-2')[0]?.headers.authorization).to.equal(undefined);
+      expect(fleet.arrivals('open-2')[0]?.headers['tenant-id']).to.equal('dairy');
+    });
+
+    it('is not told of the calls that its upstream makes for it: they bear no key', async () => {
+      for (const { upstream } of fleet.nodes.slice(0, 2))
+        upstream.behaviour.calls = [{ host: 'alarms.example', path: '/c' }];
+      const before = fleet.nodes[2]!.upstream.arrivals.length;
+      const answer = await fleet.ask(0, { id: 'deep', headers: bearing('dairy-key-1') });
+      for (const { upstream } of fleet.nodes.slice(0, 2)) upstream.behaviour.calls = [];
+      expect(answer.status).to.equal(200);
+      const calls = fleet.nodes[2]!.upstream.arrivals.slice(before);
+      expect(calls.map(({ headers }) => headers['tenant-id'])).to.deep.equal([undefined]);
+    });
+
+    const refused: Record<string, { headers: Record<string, string | string[]>; code: number }> = {
+      'no key': { headers: {}, code: 1015 },
+      'an unknown key': { headers: bearing('nobody'), code: 1016 },
+      'another scheme': { headers: { Authorization: 'Basic ZGFpcnk6' }, code: 1015 },
+      'no text after the scheme': { headers: { Authorization: 'Bearer ' }, code: 1015 },
+      'two words': { headers: { Authorization: 'Bearer dairy-key-1 dairy-key-2' }, code: 1015 },
+      'two headers': { headers: { Authorization: ['Bearer dairy-key-1', 'Bearer dairy-key-1'] }, code: 1015 },
+      'a key of 8,000 characters': { headers: bearing('k'.repeat(8000)), code: 1015 },
+    };
+    for (const [what, { headers, code }] of Object.entries(refused)) {
+      it(`is not known from ${what}: it is refused by number and reaches no upstream`, async () => {
+        const answer = await fleet.ask(0, { id: what, headers: headers as Record<string, string> });
+        expect(answer.status).to.equal(401);
+        expect(answer.text).to.contain(`"code":${String(code)}`);
+        expect(fleet.arrivals(what)).to.have.lengthOf(0);
+      });
+    }
+
+    it('is found from no log line, dump or record of a peer that holds a key', async () => {
+      for (const key of KEYS) await fleet.ask(0, { headers: bearing(key) });
+      await fleet.ask(0, { headers: bearing('nobody-knows-this') });
+      const { daemon } = fleet.nodes[0]!;
+      const dump = await (await fetch(`http://${daemon.membership.me.operatorAddress}/dump`)).text();
+      const metrics = await (await fetch(`http://${daemon.membership.me.operatorAddress}/metrics`)).text();
+      const everything = JSON.stringify(fleet.logged) + dump + metrics;
+      for (const key of [...KEYS, 'nobody-knows-this']) expect(everything).to.not.contain(key);
+    });
+  });
+
+  describe('a daemon that knows no configuration yet', () => {
+    it('says when to come back, and not that the key is unknown', async () => {
+      await using fleet = await PlatformFleet.start([{ service: 'history' }], undefined);
+      const answer = await fleet.ask(0, { headers: bearing('dairy-key-1') });
+      expect(answer.status).to.equal(503);
+      expect(Number(answer.headers['retry-after'])).to.be.greaterThan(0);
+    });
+  });
+
+  describe('a new version', () => {
+    let fleet: PlatformFleet;
+
+    beforeEach(async () => {
+      fleet = await PlatformFleet.start([{ service: 'history' }], [routeTo('history')], [DAIRY]);
+    });
+
+    afterEach(() => fleet[Symbol.asyncDispose]());
+
+    const apply = async (version: number, organisations: readonly WrittenOrganisation[] | undefined) => {
+      fleet.store.put('op', 'config', configurationText(version, [routeTo('history')], organisations));
+      await until(() => fleet.nodes.every(({ daemon }) => daemon.configuration.generation === version));
+    };
+    const statusWith = async (key: string) => (await fleet.ask(0, { headers: bearing(key) })).status;
+
+    it('gives keys and takes them away', async () => {
+      await apply(2, [{ name: 'dairy', apiKeys: ['dairy-key-2', 'dairy-key-3'] }]);
+      expect(await statusWith('dairy-key-1')).to.equal(401);
+      expect(await statusWith('dairy-key-2')).to.equal(200);
+      expect(await statusWith('dairy-key-3')).to.equal(200);
+    });
+
+    it('with no organisation in its list leaves no key that is known', async () => {
+      await apply(2, []);
+      expect(await statusWith('dairy-key-1')).to.equal(401);
+    });
+
+    it('without a list needs no keys, and those that callers go on sending go no further', async () => {
+      await apply(2, undefined);
+      const answer = await fleet.ask(0, { id: 'after', headers: bearing('dairy-key-1') });
+      expect(answer.status).to.equal(200);
+      expect(fleet.arrivals('after')[0]?.headers.authorization).to.equal(undefined);
+    });
+  });
+
+  describe('a deployment without organisations', () => {
+    it('passes the header on as it came', async () => {
+      await using fleet = await PlatformFleet.start([{ service: 'history' }], [routeTo('history')]);
+      await fleet.ask(0, { id: 'plain', headers: bearing('of the upstream') });
+      expect(fleet.arrivals('plain')[0]?.headers.authorization).to.equal('Bearer of the upstream');
+    });
+  });
+
+  describe('a configuration that makes no sense', () => {
+    const decoding = (organisations: readonly object[]) => () =>
+      decodeConfiguration(
+        configurationText(3, [routeTo('history')], organisations as unknown as WrittenOrganisation[]),
+      );
+    const refused: Record<string, readonly object[]> = {
+      'two organisations that share a key': [DAIRY, { name: 'other', apiKeys: ['dairy-key-2'] }],
+      'two organisations of one name': [DAIRY, { name: 'dairy', apiKeys: ['x'] }],
+      'an empty key': [{ name: 'dairy', apiKeys: ['dairy-key-1', ''] }],
+      'keys that are no list': [{ name: 'dairy', apiKeys: 'dairy-key-1' }],
+      'a key that is no text': [{ name: 'dairy', apiKeys: [{ secret: 'dairy-key-1' }] }],
+      'a negative rate': [{ ...DAIRY, ratePerS: -1 }],
+      'a name of more than 200 bytes': [{ ...DAIRY, name: 'n'.repeat(201) }],
+      'no name': [{ apiKeys: ['dairy-key-1'] }],
+    };
+    for (const [what, organisations] of Object.entries(refused)) {
+      it(`is refused whole for ${what}, by number and without showing a key`, () => {
+        expect(decoding(organisations)).to.throw().with.property('result', 'configurationInvalid');
+        try {
+          decoding(organisations)();
+        } catch (error) {
+          expect(String((error as { describe: () => string }).describe())).to.not.contain('dairy-key');
+        }
+      });
+    }
+
+    it('is told apart from what is merely left out: no quota is no limit, and a burst alone bounds nothing', () => {
+      const { sections } = decodeConfiguration(
+        configurationText(
+          3,
+          [routeTo('history')],
+          [
+            { ...DAIRY, burst: 5 },
+            { ...PHARMACY, ratePerS: 0 },
+          ],
+        ),
+      );
+      const quotas = joinPlan(sections).organisations?.map(({ quota }) => quota);
+      expect(quotas).to.deep.equal([undefined, undefined]);
+    });
+
+    it('never holds a key in what is spread to peers', () => {
+      const { sections } = decodeConfiguration(configurationText(3, [routeTo('history')], [DAIRY]));
+      for (const content of sections.values()) expect(content).to.not.contain('dairy-key');
+    });
+  });
+
+  describe('keys', () => {
+    const organisations = Array.from({ length: 10_000 }, (_, i): Organisation => {
+      const keyDigests = [1, 2, 3].map(key => digestOfKey(`${String(i)}-${String(key)}`));
+      return { name: `o${String(i)}`, keyDigests, rank: undefined, quota: undefined };
+    });
+
+    it('of 10,000 organisations are found in a microsecond or two by their digests', () => {
+      const keyring = new Keyring(organisations);
+      const digests = organisations.flatMap(({ keyDigests }) => keyDigests);
+      expect(keyring.holderOf(digestOfKey('9999-3'))?.name).to.equal('o9999');
+      const start = performance.now();
+      const found = digests.filter(digest => keyring.holderOf(digest) !== undefined);
+      expect(performance.now() - start).to.be.below(digests.length * TWO_MICROSECONDS_MS);
+      expect(found).to.have.lengthOf(digests.length);
+    });
+
+    it('that one of them gets travel without those of the others', () => {
+      const limits = { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+      const plan = { routes: [], services: [], limits };
+      const [first, ...others] = organisations;
+      const changed = [{ ...first!, keyDigests: [digestOfKey('new')] }, ...others];
+      const before = planSections({ ...plan, organisations });
+      const after = planSections({ ...plan, organisations: changed });
+      expect(differences(before, after)).to.deep.equal([{ section: 'organisation:o0', kind: 'changed' }]);
+    });
+  });
+
+  describe('importance', () => {
+    const route = (name: string, rank: number): HostRoute => ({
+      name,
+      host: name,
+      pathPrefix: '/',
+      idempotent: true,
+      timeoutMs: 1000,
+      targetLatencyMs: 1000,
+      rank,
+      isPublic: false,
+      parts: [{ service: name, weight: 1 }],
+      mostAttempts: 1,
+    });
+    const owner = (rank: number | undefined): Organisation => ({
+      name: `rank ${String(rank)}`,
+      keyDigests: [],
+      rank,
+      quota: undefined,
+    });
+    const limits = { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+    const routes = [route('confirm', 0), route('read', 2)];
+    const planned = (organisations: readonly Organisation[] | undefined) =>
+      new HostRoutes({ routes, services: [], limits, organisations }, () => 0.5);
+
+    it('of the organisation goes before that of the route, which tells among equals', () => {
+      const plan = planned([owner(0), owner(3)]);
+      const rankOf = (name: number, rank: number) => plan.rankOf(routes[name]!, owner(rank));
+      const inOrder = [rankOf(0, 0), rankOf(1, 0), rankOf(0, 3), rankOf(1, 3)];
+      expect(inOrder).to.deep.equal([...inOrder].sort((a, b) => a - b));
+      expect(new Set(inOrder).size).to.equal(4);
+      expect(plan.classes).to.be.greaterThan(Math.max(...inOrder));
+    });
+
+    it('is that of the route, as declared, where organisations have none, or there are none', () => {
+      for (const plan of [planned(undefined), planned([owner(undefined)])]) {
+        expect(plan.rankOf(routes[0]!, owner(undefined))).to.equal(0);
+        expect(plan.rankOf(routes[1]!, undefined)).to.equal(2);
+        expect(plan.classes).to.equal(3);
+      }
+    });
+  });
+});
--- a/tests/relay.spec.ts
+++ b/tests/relay.spec.ts
@@ -21,6 +21,7 @@
   timeoutMs: TIMEOUT_MS,
   targetLatencyMs: TIMEOUT_MS,
   rank: 0,
+  isPublic: false,
   parts: [{ service: 'receiving', weight: 1 }],
   mostAttempts: 2,
 };
@@ -30,6 +31,7 @@
   path: '/',
   headers: '',
   requestId: 'r1',
+  credentials: 'none',
   remainingMs: undefined,
   parentId: undefined,
 };
@@ -41,7 +43,10 @@
   /** A relay whose forwarder never answers, in a daemon that ends after so many ms. */
   function relay(timeLeftMs = Number.POSITIVE_INFINITY): Relay {
     const limits = { headerBytes: 1000, bodyBytes: 1000, headerTimeoutMs: 1000, idleTimeoutMs: 1000 };
-    const routes = new HostRoutes({ routes: [ROUTE], services: [], limits }, () => 0.5);
+    const routes = new HostRoutes(
+      { routes: [ROUTE], services: [], limits, organisations: undefined },
+      () => 0.5,
+    );
     const forward = (
       _route: CallRoute,
       _head: unknown,
@@ -62,6 +67,7 @@
       journal: new Journal(clock),
       forwarder: { forward },
       originService: 'history',
+      areKeysProven: () => true,
       pressureLevel: () => Number.POSITIVE_INFINITY,
       timeLeftMs: () => timeLeftMs,
       random: () => 0.5,
--- a/tests/slowReaders.spec.ts
+++ b/tests/slowReaders.spec.ts
@@ -28,6 +28,7 @@
       },
       dialect: callerDialect,
       limits: () => undefined,
+      needsKeys: () => false,
       isLeaving: () => false,
       turns: new WorkTurns(new SystemClock(), () => false),
       started: () => {
