Refuse a key that nobody holds also where none is needed

Cause: a request with an unknown key, or one that was taken away, ran as nobody's on a public route, and as a call if it named a running request.

Change: only requests that show no key are nobody's there.

Measured: open-3 of organisations.spec.ts ran before and gets 401; a public route with a key that can't be proven gets 503.

--- a/packages/calls/src/relay.ts
+++ b/packages/calls/src/relay.ts
@@ -78,7 +78,8 @@
   }
 
   /**
-   * Finds out whose a request is, or why it can't be taken. A call of an upstream bears no key: it is part of a request that did.
+   * Finds out whose a request is, or why it can't be taken. A call of an upstream bears no key: it is part of a request that did. A key that is
+   * shown has to be good, also where none is needed.
    *
    * That keys are proven is asked once, here: the request was sent before, so that it is within the bound however long it waits from now on. Before it
    * is known, an unknown key may be a new one.
@@ -90,16 +91,14 @@
     parent: RunningCall | undefined,
   ): Sender | Refusal {
     if (!keyring) return NOBODY;
-    const needsNone = route.isPublic || parent !== undefined;
     if (typeof credentials === 'string') {
-      if (needsNone) return NOBODY;
+      if (route.isPublic || (credentials === 'none' && parent)) return NOBODY;
       const found = credentials === 'none' ? 'none' : 'something else';
       return refusalOf('keyMissing', `Expected one key, found ${found}.`);
     }
-    if (!this.options.areKeysProven()) return needsNone ? NOBODY : this.unproven();
+    if (!this.options.areKeysProven()) return this.unproven();
     const organisation = keyring.holderOf(credentials.keyDigest);
-    if (organisation) return { organisation };
-    return needsNone ? NOBODY : refusalOf('keyUnknown', 'No organisation holds the key.');
+    return organisation ? { organisation } : refusalOf('keyUnknown', 'No organisation holds the key.');
   }
 
   private unproven(): Refusal {
--- a/tests/organisations.spec.ts
+++ b/tests/organisations.spec.ts
@@ -64,7 +64,7 @@
       expect(names).to.deep.equal(['pharmacy', 'pharmacy']);
     });
 
-    it('is nobody on a public route without a key, and there, too, the key goes no further', async () => {
+    it('is nobody on a public route without a key; one that is shown there has to be good, too, and goes no further', async () => {
       const ask = (id: string, headers: Record<string, string>) =>
         fleet.ask(0, { host: 'open.example', id, headers });
       expect((await ask('open-1', { 'Tenant-Id': 'dairy' })).status).to.equal(200);
@@ -72,6 +72,8 @@
       expect((await ask('open-2', bearing('dairy-key-1'))).status).to.equal(200);
       expect(fleet.arrivals('open-2')[0]?.headers.authorization).to.equal(undefined);
       expect(fleet.arrivals('open-2')[0]?.headers['tenant-id']).to.equal('dairy');
+      expect((await ask('open-3', bearing('nobody'))).status).to.equal(401);
+      expect(fleet.arrivals('open-3')).to.have.lengthOf(0);
     });
 
     it('is not told of the calls that its upstream makes for it: they bear no key', async () => {
--- a/tests/revocation.spec.ts
+++ b/tests/revocation.spec.ts
@@ -55,6 +55,8 @@
     expect(refused.text).to.contain('"code":2014').and.to.contain('not-run');
     expect(Number(refused.headers['retry-after'])).to.be.within(0.1, 3);
     expect((await fleet.ask(0, { host: 'open.example' })).status).to.equal(200);
+    const keyed = { host: 'open.example', headers: { Authorization: 'Bearer taken' } };
+    expect((await fleet.ask(0, keyed)).status).to.equal(503);
   });
 
   it('costs the others no more than the time without proof: they are honoured again once the platform is back', async () => {
