Keep the quotas of organisations over the whole fleet

Change: each daemon has an equal share of its failure domain's part of all quotas and lends it, for 0.8 s at a time, to the daemon that gives out (by hash, two shards); a request takes room there before it takes a slot or a retry. Shares are used in one place at a time, so that parts never add up to more than the whole, whoever is cut off, starts again, sleeps or sees the fleet in another way. A pot that runs low is filled up by those of other failure domains. Over: 429, CQ2015, at once, with a moment to come back at; nobody to ask within 1.1 s: 503, CQ2016. What ran nowhere is given back; a repeat is not charged. Questions travel in datagrams of membership, whose options moved to a file of their own.

Parts by gossiped demand were not built.

--- a/packages/calls/src/relay.ts
+++ b/packages/calls/src/relay.ts
@@ -6,7 +6,13 @@
 import { strictLevelOf } from '@cleatquay/admission';
 import { CALLER_LEFT, type CancelSignal, Cancellation, type Clock, type Random } from '@cleatquay/clock';
 import { type CallContext, type Refusal, type RequestHead, endOf, refusalOf } from '@cleatquay/protocol';
-import { type Credentials, type Organisation } from '@cleatquay/organisations';
+import {
+  type Credentials,
+  type Organisation,
+  type Quota,
+  type Quotas,
+  type Taken,
+} from '@cleatquay/organisations';
 import { type HostRoute, type HostRoutes } from '@cleatquay/routes';
 import { type CallAnswer, type CallBody, type CallRoute, answerOf } from './callHandler.js';
 import { type Forwarder } from './forwarder.js';
@@ -43,6 +49,7 @@
   readonly forwarder: Pick<Forwarder, 'forward'>;
   /** Service of the upstream on this VM. */
   readonly originService: string;
+  readonly quotas: () => Pick<Quotas, 'take' | 'giveBack'>;
   /** Whether it is known that no key was taken away that the configuration in force still has. */
   readonly areKeysProven: () => boolean;
   /** Fresh requests at or above this level are refused at once: the process has no time for them. */
@@ -74,7 +81,46 @@
     const isRefused = !parent && strictLevelOf(context.class, context.rootId) >= this.options.pressureLevel();
     if (isRefused) return this.refuseForPressure(context);
     if (context.remainingMs > this.options.timeLeftMs()) return this.refuseForEnd(context);
-    return this.withinTimeout(request, context, route, service, new ReplayBody(source), signal);
+    const go = (left: CallContext) =>
+      this.withinTimeout(request, left, route, service, new ReplayBody(source), signal);
+    const { organisation } = sender;
+    return organisation?.quota
+      ? this.withinQuota(organisation.name, organisation.quota, context, go)
+      : go(context);
+  }
+
+  /** Before it takes a slot or a retry anywhere. Room that was taken for a request that ran nowhere is given back. */
+  private async withinQuota(
+    organisation: string,
+    quota: Quota,
+    context: CallContext,
+    go: (context: CallContext) => Promise<CallAnswer>,
+  ): Promise<CallAnswer> {
+    const { clock, quotas } = this.options;
+    const startedAt = clock.now();
+    const taken = await quotas().take(organisation, quota);
+    if (taken.kind !== 'taken') return this.refuseForQuota(context, organisation, taken);
+    const remainingMs = Math.max(1, Math.floor(context.remainingMs - (clock.now() - startedAt)));
+    const answer = await go({ ...context, remainingMs });
+    if (answer.first.refusal?.outcome === 'not-run') quotas().giveBack(organisation, taken.at);
+    return answer;
+  }
+
+  private refuseForQuota(
+    { requestId }: CallContext,
+    organisation: string,
+    taken: Exclude<Taken, { kind: 'taken' }>,
+  ): CallAnswer {
+    this.options.journal.note(requestId, 'Refused by its quota.', { organisation, ...taken });
+    const refusal =
+      taken.kind === 'over'
+        ? refusalOf('quotaExceeded', `${organisation} has sent what its quota allows.`, {
+            retryAfterMs: Math.max(1, Math.round(taken.retryAfterMs)),
+          })
+        : refusalOf('quotaUnreachable', 'Nobody could be asked whether the quota has room.', ELSEWHERE_SOON);
+    const answer = answerOf(endOf(refusal, 0));
+    this.noteEnd(requestId, answer, 0);
+    return answer;
   }
 
   /**
--- a/packages/daemon/src/core.ts
+++ b/packages/daemon/src/core.ts
@@ -21,7 +21,13 @@
 import { type CancelSignal, type Clock, type Random } from '@cleatquay/clock';
 import { Quarantine, type QuarantineTable } from '@cleatquay/quarantine';
 import { type Freshness, type Moment } from '@cleatquay/configuration';
-import { type KnownConfiguration, Membership, type Proofs, UdpDatagrams } from '@cleatquay/membership';
+import {
+  type KnownConfiguration,
+  Membership,
+  type Proofs,
+  type QuotaHandlers,
+  UdpDatagrams,
+} from '@cleatquay/membership';
 import {
   type ConfigurationAnswer,
   type ConfigurationRequest,
@@ -86,6 +92,7 @@
   readonly configuration: (request: ConfigurationRequest) => ConfigurationAnswer;
   /** How lately the configuration was the newest, where that is of use. */
   readonly freshness?: Freshness;
+  readonly quotas?: QuotaHandlers;
   /** A peer, by its inner address, says which configuration it has. */
   readonly onConfiguration: (configuration: KnownConfiguration, peer: string) => void;
 }
@@ -143,6 +150,7 @@
         verdicts: () => this.quarantine.findings,
         heard: finding => this.quarantine.heard(finding),
       },
+      ...(options.quotas && { quotas: options.quotas }),
       ...(options.freshness && { proofs: proofsOf(options.freshness) }),
       onConfiguration: (configuration, from) => this.heardConfiguration(configuration, from),
       onChange: member => {
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -21,6 +21,7 @@
 } from '@cleatquay/configuration';
 import { Failure } from '@cleatquay/errors';
 import { type KeptState, Meeting, type MeetingTable, type Membership } from '@cleatquay/membership';
+import { type Quotas } from '@cleatquay/organisations';
 import { type Refusal, type RequestHead, endOf, refusalOf } from '@cleatquay/protocol';
 import { type Quarantine, type QuarantineTable } from '@cleatquay/quarantine';
 import { HostRoutes, type RoutePlan } from '@cleatquay/routes';
@@ -30,6 +31,7 @@
 import { logAdoption, logDoubt, logPeerFailure } from './adoptionLog.js';
 import { Core } from './core.js';
 import { takeOver } from './formerUpstreams.js';
+import { fleetQuotas } from './fleetQuotas.js';
 import { HttpListeners, addressOf, serverOf, startServers } from './httpListeners.js';
 import { Metrics } from './metrics.js';
 import { operatorGateway } from './operatorGateway.js';
@@ -39,6 +41,7 @@
 import { addQuarantineGauges } from './quarantineGauges.js';
 import { PressureLog } from './pressureLog.js';
 import { Readers } from './readers.js';
+import { addRelayGauges } from './relayGauges.js';
 import { type RelayReportParts, relayDump, relayStatus } from './relayReport.js';
 import { type RelaySettings } from './relaySettings.js';
 import { type Announcement, type UpstreamBounds, type Upstreams } from './upstreams.js';
@@ -94,12 +97,12 @@
 export class RelayDaemon implements AsyncDisposable {
   readonly metrics = new Metrics();
   readonly configuration: Configuration<HostRoutes>;
-  private readonly freshness: Freshness;
+  readonly freshness: Freshness;
   private readonly broker: ServiceBroker = quietBroker();
   private readonly configurationLog: Logger;
   private readonly gateway: RelayGateway;
   private readonly learned: LearnedCalls;
-  private readonly pressure: ProcessorPressure;
+  readonly pressure: ProcessorPressure;
   private readonly turns: WorkTurns;
   /** Made once the daemon listens for its peers. */
   private core!: Core;
@@ -110,11 +113,14 @@
   private spread!: ConfigurationSpread;
   /** Undefined where keys need no proof. */
   private proofs: ProofRounds | undefined;
+  quotas!: Quotas;
   private readonly listeners = new HttpListeners(this.broker);
   private inFlight = 0;
   /** Importance classes of the configuration in force. */
   private classes = 1;
   private hasMet = false;
+  /** Whether it has read from the platform which daemons there are. */
+  private knowsFleet = false;
   private leavingSince: number | undefined;
   /** Clock time at which it stops waiting for what is in flight, ms; once it has stopped, the time at which it did. */
   private endsAt = Number.POSITIVE_INFINITY;
@@ -134,21 +140,6 @@
       (lagMs, isLagging) => pressureLog.sampled(lagMs, isLagging),
     );
     this.turns = new WorkTurns(clock, () => this.pressure.isLagging);
-    this.metrics.gauge(
-      'cleatquay_processor_lag_ms',
-      'How late the latest timer was',
-      () => this.pressure.lagMs,
-    );
-    this.metrics.gauge(
-      'cleatquay_configuration_generation',
-      'Generation in force',
-      () => this.configuration.generation,
-    );
-    this.metrics.gauge(
-      'cleatquay_configuration_content',
-      'First half of the digest in force',
-      () => this.configuration.shortDigest,
-    );
     this.configuration = new Configuration(
       clock,
       sections => new HostRoutes(installation.plan(sections), random, this.configuration.inForce),
@@ -173,10 +164,16 @@
     daemon.relay = daemon.makeRelay();
     daemon.readers = new Readers(parts.clock, daemon.membership, parts.settings.failureDomain);
     daemon.proofs = daemon.makeProofs();
+    daemon.quotas = fleetQuotas({
+      ...parts,
+      membership: daemon.membership,
+      knowsFleet: () => daemon.knowsFleet,
+    });
     daemon.meeting = daemon.makeMeeting();
     daemon.watch = daemon.makeWatch();
     daemon.spread = daemon.makeSpread();
     addQuarantineGauges(daemon.metrics, daemon.core.quarantine);
+    addRelayGauges(daemon.metrics, daemon);
     await daemon.serve();
     return daemon;
   }
@@ -261,6 +258,7 @@
     await this.broker.stop();
     await this.watch[Symbol.asyncDispose]();
     await this.proofs?.[Symbol.asyncDispose]();
+    this.quotas[Symbol.dispose]();
     await this.meeting[Symbol.asyncDispose]();
     await this.spread[Symbol.asyncDispose]();
     await this.core[Symbol.asyncDispose]();
@@ -305,6 +303,10 @@
       },
       configuration: question => this.configuration.answer(question),
       freshness: this.freshness,
+      quotas: {
+        heardQuestion: (question, from) => this.quotas.heardQuestion(question, from),
+        heardAnswer: (answer, from) => this.quotas.heardAnswer(answer, from),
+      },
       onConfiguration: (heard, peer) => this.spread.heard(heard, peer),
     });
   }
@@ -320,6 +322,7 @@
       originService: settings.service,
       running: this.core.running,
       learned: this.learned,
+      quotas: () => this.quotas,
       areKeysProven: () => this.proofs?.isProven ?? true,
       pressureLevel: () => this.pressure.level,
       timeLeftMs: () => this.endsAt - clock.now(),
@@ -443,6 +446,7 @@
     this.watch.start();
     this.proofs?.start();
     this.meeting.start();
+    void this.meeting.met.then(() => (this.knowsFleet = true));
     void Promise.race([this.meeting.met, clock.sleep(MEETING_PATIENCE_MS)]).then(() => (this.hasMet = true));
   }
 
@@ -451,6 +455,7 @@
     this.classes = this.configuration.inForce?.classes ?? 1;
     this.core.membership.setConfiguration(this.configuration);
     this.gateway.applyConfiguration();
+    this.quotas.adopt(this.configuration.inForce?.keyring?.organisations ?? []);
   }
 
   private started(): (refusal: Refusal | undefined) => void {
--- a/packages/daemon/src/relaySettings.ts
+++ b/packages/daemon/src/relaySettings.ts
@@ -1,5 +1,6 @@
 /** Settings of a daemon that serves unchanged callers. */
 import { type FleetRetryBounds } from '@cleatquay/calls';
+import { type QuotaDivision } from '@cleatquay/organisations';
 import { type CorePlace } from './core.js';
 
 /** What such a daemon is told of its VM and of the bounds that it keeps. */
@@ -17,5 +18,7 @@
   readonly retries: FleetRetryBounds;
   /** How long after it was taken away a key may be honoured by any daemon, ms; undefined where only daemons in contact have to keep up. */
   readonly revocationMs: number | undefined;
+  /** How quotas of organisations are divided over the fleet. */
+  readonly quotas: QuotaDivision;
   readonly logLevel: string;
 }
--- a/packages/errors/src/resultCodes.ts
+++ b/packages/errors/src/resultCodes.ts
@@ -78,6 +78,18 @@
     'not-run',
     'Come back after the time in Retry-After, best at another daemon: this one is cut off from the platform.',
   ),
+  quotaExceeded: row(
+    2015,
+    429,
+    'not-run',
+    'The organisation sends more than its quota; come back after the time in Retry-After.',
+  ),
+  quotaUnreachable: row(
+    2016,
+    503,
+    'not-run',
+    "The daemons that give out the organisation's quota could not be reached; come back after the time in Retry-After.",
+  ),
   requestTimedOut: row(
     3007,
     504,
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -2,13 +2,14 @@
  * Which daemons are alive, and what upstreams they stand beside, by gossip over UDP.
  * After SWIM (Das, Gupta, Motivala, DSN 2002), with the local health of Lifeguard (Dadgar, Phillips, Currey, 2018).
  */
+export { Membership } from './membership.js';
 export {
   type Findings,
   type KnownConfiguration,
-  type Proofs,
-  Membership,
   type MembershipOptions,
-} from './membership.js';
+  type Proofs,
+  type QuotaHandlers,
+} from './membershipOptions.js';
 export { MemberTable } from './memberTable.js';
 export { type Datagrams, UdpDatagrams } from './datagrams.js';
 export {
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -1,20 +1,22 @@
 /** The gossip itself: probes, suspicion, refutation, spreading, and anti-entropy. */
-import { type Clock, type Random, type Timer } from '@cleatquay/clock';
+import { type Timer } from '@cleatquay/clock';
 import {
   type Ack,
   Finding,
   Gossip,
   Member,
   type Ping,
+  type QuotaAnswer,
+  type QuotaQuestion,
   type Sync,
   type Upstream,
   isAddress,
   isUsableMember,
 } from '@cleatquay/protocol';
 import { Broadcasts } from './broadcasts.js';
-import { type Datagrams } from './datagrams.js';
 import { LocalHealth } from './localHealth.js';
 import { MemberTable } from './memberTable.js';
+import { type KnownConfiguration, type MembershipOptions } from './membershipOptions.js';
 import { Probes } from './probes.js';
 
 const PERIOD_MS = 1000;
@@ -50,50 +52,6 @@
  */
 const MET_OF_MANY = 3;
 
-/** Which configuration a daemon has. */
-export interface KnownConfiguration {
-  readonly generation: number;
-  /** First half of the digest of its content. */
-  readonly shortDigest: number;
-}
-
-/** How lately each daemon's configuration was the newest, as it travels on answers to probes. */
-export interface Proofs<Asked> {
-  /** How long ago that of this daemon was, ms; infinite if it never was. */
-  readonly ageMs: () => number;
-  /** The present moment, kept with a question until its answer comes. */
-  readonly asking: () => Asked;
-  /** A member answers a question that was asked then. */
-  readonly heard: (proof: KnownConfiguration & { readonly ageMs: number }, asked: Asked) => void;
-}
-
-/** What daemons find out about requests under which upstreams end, as gossip sees it. */
-export interface Findings {
-  /** Digest of the verdicts that are known here; 0 for none. */
-  readonly digest: () => number;
-  /** The verdicts that are known here. */
-  readonly verdicts: () => readonly Finding[];
-  /** Takes a finding of another daemon. Says whether it was news. */
-  readonly heard: (finding: Finding) => boolean;
-}
-
-/** What a daemon brings to its membership. */
-export interface MembershipOptions<Asked = unknown> {
-  readonly clock: Clock;
-  readonly random: Random;
-  readonly datagrams: Datagrams;
-  readonly self: Omit<Member, 'incarnation' | 'state' | 'upstreams' | 'isPlatformLost'>;
-  readonly seeds: readonly string[];
-  /** Told when a member says which configuration it has. */
-  readonly onConfiguration: (configuration: KnownConfiguration, from: string) => void;
-  readonly findings?: Findings;
-  readonly proofs?: Proofs<Asked>;
-  /** Told of every change of a member other than this one. */
-  readonly onChange: (member: Member) => void;
-  /** Whether datagrams to and from this gossip address are cut off; a hook for tests. */
-  readonly isCut?: (gossipAddress: string) => boolean;
-}
-
 /** This daemon's view of the fleet. */
 export class Membership<Asked = unknown> implements AsyncDisposable {
   readonly table = new MemberTable();
@@ -158,6 +116,16 @@
     return [...this.table.all()].filter(m => isUp(m) && m.address !== this.self.address).length;
   }
 
+  /** Daemons of a failure domain, this one among them: those that are up, and those that were found gone so lately that they may be cut off only. */
+  countLately(failureDomain: string, withinMs: number): number {
+    const since = this.options.clock.now() - withinMs;
+    return [...this.table.all()].filter(
+      m =>
+        m.failureDomain === failureDomain &&
+        (isUp(m) || (m.state === 'DEAD' && (this.goneSince.get(m.address) ?? 0) > since)),
+    ).length;
+  }
+
   /** Clock time at which another member was last heard, ms; before the first, the start. */
   get lastHeardAt(): number {
     return this.heardAt;
@@ -252,6 +220,16 @@
     void this.ping(gossipAddress, ACK_TIMEOUT_MS);
   }
 
+  /** Asks a member, by its gossip address, for room in quotas. */
+  askForQuota(to: string, quotaQuestion: QuotaQuestion): void {
+    this.send(to, { quotaQuestion });
+  }
+
+  /** Answers such a question. */
+  answerForQuota(to: string, quotaAnswer: QuotaAnswer): void {
+    this.send(to, { quotaAnswer });
+  }
+
   private ping(to: string, timeout: number): Promise<boolean> {
     return this.probes.ask(timeout, sequence => this.send(to, { ping: { sequence, target: '' } }));
   }
@@ -359,6 +337,8 @@
     if (gossip.ack) this.handleAck(gossip.ack, { generation, shortDigest });
     if (gossip.ping) this.handlePing(gossip.ping, gossip.from);
     if (gossip.sync) this.handleSync(gossip.sync, gossip.from);
+    if (gossip.quotaQuestion) this.options.quotas?.heardQuestion(gossip.quotaQuestion, gossip.from);
+    if (gossip.quotaAnswer) this.options.quotas?.heardAnswer(gossip.quotaAnswer, gossip.from);
   }
 
   /** What was missed while this daemon or the other stood still, was cut off or was away is made up for: each tells the other its verdicts. */
@@ -428,12 +408,7 @@
     this.send(to, { sync: { digests: this.table.digests(), reply } }, [this.self]);
   }
 
-  private send(
-    to: string,
-    what: { ping?: Ping; ack?: Ack; sync?: Sync; bulk?: boolean },
-    members?: Member[],
-    verdicts?: Finding[],
-  ): void {
+  private send(to: string, what: Said, members?: Member[], verdicts?: Finding[]): void {
     if (this.options.isCut?.(to)) return;
     const limit = Math.max(FEWEST_TRANSMISSIONS, Math.ceil(TRANSMISSIONS * Math.log2(this.table.size + 1)));
     const findings = verdicts ?? (members ? [] : this.findings.take(FINDINGS_BUDGET, limit));
@@ -445,6 +420,8 @@
       ack: what.ack,
       sync: what.sync,
       bulk: what.bulk ?? false,
+      quotaQuestion: what.quotaQuestion,
+      quotaAnswer: what.quotaAnswer,
       members: members ?? this.broadcasts.take(left, limit),
       findings,
       findingsDigest: this.options.findings?.digest() ?? 0,
@@ -509,6 +486,9 @@
 
 /** Older proofs say nothing that anybody could use, ms. */
 const OLDEST_PROOF_MS = 60_000;
+/** What one datagram says besides news. */
+type Said = Partial<Pick<Gossip, 'ping' | 'ack' | 'sync' | 'bulk' | 'quotaQuestion' | 'quotaAnswer'>>;
+
 const MEMBER_BYTES = 150;
 /** A verdict has up to 400 bytes. */
 const VERDICTS_A_DATAGRAM = 2;
--- a/tests/foreignWriters.spec.ts
+++ b/tests/foreignWriters.spec.ts
@@ -117,6 +117,8 @@
           bulk: false,
           findings: [],
           findingsDigest: 0,
+          quotaQuestion: undefined,
+          quotaAnswer: undefined,
         };
         const gossip = Gossip.encode(message).finish();
         await new Promise(resolve => socket.send(gossip, Number(port), ip, resolve));
--- a/tests/organisations.spec.ts
+++ b/tests/organisations.spec.ts
@@ -3,6 +3,7 @@
 import { decodeConfiguration } from '@cleatquay/platform';
 import { type HostRoute, HostRoutes, joinPlan, planSections } from '@cleatquay/routes';
 import { expect } from 'chai';
+import { setTimeout as sleep } from 'node:timers/promises';
 import {
   PlatformFleet,
   type WrittenOrganisation,
@@ -160,6 +161,47 @@
     });
   });
 
+  describe('a quota', () => {
+    it('bounds what runs of its organisation on all daemons together; the rest is told at once when to come back, and others go on', async () => {
+      const vms = ['z1', 'z1', 'z2'].map(failureDomain => ({ service: 'history', failureDomain }));
+      const bounded = { ...DAIRY, ratePerS: 10, burst: 6 };
+      await using fleet = await PlatformFleet.start(vms, [routeTo('history')], [bounded, PHARMACY]);
+      const ask = (i: number, key: string) => fleet.ask(i % 3, { headers: bearing(key) });
+      await until(async () => (await ask(0, 'dairy-key-1')).status === 200);
+      const startedAt = performance.now();
+      const answers = await Promise.all(Array.from({ length: 120 }, (_, i) => ask(i, 'dairy-key-1')));
+      const seconds = (performance.now() - startedAt) / 1000;
+      const served = answers.filter(({ status }) => status === 200).length;
+      const refused = answers.filter(({ status }) => status === 429);
+      expect(served + refused.length).to.equal(120);
+      expect(served).to.be.within(1, 6 + 10 * (seconds + 0.5));
+      for (const { headers, text } of refused) {
+        expect(Number(headers['retry-after'])).to.be.greaterThan(0);
+        expect(text).to.contain('"code":2015').and.to.contain('not-run');
+      }
+      const others = await Promise.all(Array.from({ length: 30 }, (_, i) => ask(i, 'pharmacy-key')));
+      expect(others.every(({ status }) => status === 200)).to.equal(true);
+    });
+
+    it('is not used up by requests that run nowhere', async () => {
+      const bounded = { ...DAIRY, ratePerS: 2, burst: 1 };
+      await using fleet = await PlatformFleet.start(
+        [{ service: 'history' }],
+        [routeTo('history')],
+        [bounded],
+      );
+      const { upstream } = fleet.nodes[0]!;
+      await until(async () => (await fleet.ask(0, { headers: bearing('dairy-key-1') })).status === 200);
+      await until(async () => (await fleet.ask(0, { headers: bearing('dairy-key-1') })).status === 429);
+      await sleep(600);
+      upstream.behaviour.fault = () => 'shed';
+      const statuses: number[] = [];
+      for (let i = 0; i < 8; i++)
+        statuses.push((await fleet.ask(0, { headers: bearing('dairy-key-1') })).status);
+      expect(statuses.filter(status => status === 503).length).to.be.greaterThan(3);
+    });
+  });
+
   describe('a deployment without organisations', () => {
     it('passes the header on as it came', async () => {
       await using fleet = await PlatformFleet.start([{ service: 'history' }], [routeTo('history')]);
--- a/tests/relay.spec.ts
+++ b/tests/relay.spec.ts
@@ -67,6 +67,9 @@
       journal: new Journal(clock),
       forwarder: { forward },
       originService: 'history',
+      quotas: () => {
+        throw new Error('Nobody has a quota here.');
+      },
       areKeysProven: () => true,
       pressureLevel: () => Number.POSITIVE_INFINITY,
       timeLeftMs: () => timeLeftMs,
