Have one reader of each failure domain prove how things stand, by short reads

Change: the first reader reads each quarter of the bound without waiting, which proves the present and not how things stood when the wait began; the others wait for changes, half of the bound at most, and take its place when they hear of no proof for two reads.

--- a/packages/configuration/src/configurationWatch.ts
+++ b/packages/configuration/src/configurationWatch.ts
@@ -50,6 +50,8 @@
   readonly isOnDuty: () => boolean;
   /** How long to wait for the next version, ms; `isFirst` where the last call brought one. */
   readonly waitMs: (isFirst: boolean) => number;
+  /** How often to read without waiting for a change, ms; undefined to wait. A wait proves how things stood when it was begun, so that it is old when it ends. */
+  readonly paceMs: () => number | undefined;
   /** How long to pause after a read that failed, ms. */
   readonly pauseMs: () => number;
   /** Told after each call whether the source can be reached. */
@@ -98,11 +100,20 @@
       this.lookedAt = this.options.clock.now();
       // A wait that failed says little: its connection may have been old. The source is read at once on another one.
       const hasWaited = this.next !== 'read';
-      if ((await this.takeNext(signal)) || hasWaited) continue;
+      const begunAt = this.lookedAt;
+      const hasWorked = await this.takeNext(signal);
+      if (hasWorked) await this.keepPace(begunAt, signal);
+      if (hasWorked || hasWaited) continue;
       await this.options.clock.sleep(this.options.pauseMs(), signal);
     }
   }
 
+  private async keepPace(begunAt: number, signal: AbortSignal): Promise<void> {
+    const { clock, paceMs } = this.options;
+    const leftMs = begunAt + (paceMs() ?? 0) - clock.now();
+    if (leftMs > 0) await clock.sleep(leftMs, signal);
+  }
+
   /** A daemon without any configuration looks, whoever else does. */
   private mayLook(): boolean {
     const { clock, configuration, isOnDuty } = this.options;
@@ -133,9 +144,10 @@
   }
 
   private ask(signal: AbortSignal): Promise<SourcedVersion | undefined> {
-    const { source, waitMs } = this.options;
+    const { source, waitMs, paceMs } = this.options;
     if (this.next === 'read') return source.read(signal);
-    return source.next(waitMs(this.next === 'wait-after-version'), signal);
+    const isPaced = paceMs() !== undefined;
+    return source.next(isPaced ? 0 : waitMs(this.next === 'wait-after-version'), signal);
   }
 
   /**
--- a/packages/daemon/src/httpListeners.ts
+++ b/packages/daemon/src/httpListeners.ts
@@ -3,10 +3,18 @@
 import { splitAddress } from '@cleatquay/settings';
 import { type Service, type ServiceBroker } from 'moleculer';
 import ApiGateway from 'moleculer-web';
-import { type Server } from 'node:http';
+import { type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { type AddressInfo } from 'node:net';
 import { gatewaySettings } from './gatewaySettings.js';
 
+/** A plain HTTP listener of an installation, beside that for callers. */
+export interface Listener {
+  readonly name: string;
+  /** ip:port */
+  readonly address: string;
+  readonly handle: (request: IncomingMessage, response: ServerResponse) => void;
+}
+
 /** In place of the route that moleculer-web adds where there is none, and whose parser of bodies it would load. */
 const UNUSED_ROUTE = { path: '/', bodyParsers: false };
 
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,7 +1,8 @@
 /** The process beside each upstream. */
 export { type AnswerWriter } from './callerAnswer.js';
 export { Daemon, type DaemonParts } from './daemon.js';
-export { type Installation, type Listener, RelayDaemon, type RelayDaemonParts } from './relayDaemon.js';
+export { type Listener } from './httpListeners.js';
+export { type Installation, RelayDaemon, type RelayDaemonParts } from './relayDaemon.js';
 export { type CallerDialect, RelayGateway } from './relayGateway.js';
 export { PressureLog } from './pressureLog.js';
 export { type RelaySettings } from './relaySettings.js';
--- a/packages/daemon/src/proofRounds.ts
+++ b/packages/daemon/src/proofRounds.ts
@@ -7,9 +7,10 @@
 import { type Membership } from '@cleatquay/membership';
 import { type Readers } from './readers.js';
 
-/** Parts of the bound: how often a daemon asks, and how long those that read the platform wait for changes. */
+/** Parts of the bound: how often a daemon asks, how often one of each failure domain reads the platform, and how long others wait there for changes. */
 const ASK_PART = 1 / 12;
-const WAIT_PART = 1 / 8;
+const READ_PART = 1 / 4;
+const WAIT_PART = 1 / 2;
 /** A proof of this part of the bound means that those who were asked don't help. */
 const OLD_PART = 1 / 2;
 /** Part of the bound after which a proof holds no more: clocks of two VMs may differ by some hundredths. */
@@ -20,7 +21,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly freshness: Freshness;
-  readonly readers: Pick<Readers, 'provers'>;
+  readonly readers: Pick<Readers, 'provers' | 'isReader' | 'isFirstReader'>;
   readonly membership: Pick<Membership, 'ask' | 'randomAlive' | 'table'>;
   /** How long after it was taken away a key may still be honoured, ms. */
   readonly boundMs: number;
@@ -47,7 +48,19 @@
     return this.options.freshness.ageMs < this.options.boundMs * TRUSTED_PART;
   }
 
-  /** How long a reader of the platform may wait for a change before it reads again, ms: each read proves as much as it is long ago. */
+  /**
+   * How often this daemon reads the platform to prove for others, ms; undefined for one that leaves it to the first reader of its failure domain. Another reader
+   * does in its place where nothing is heard of that.
+   */
+  get paceMs(): number | undefined {
+    const { boundMs, readers, freshness, needsKeys } = this.options;
+    const paceMs = boundMs * READ_PART;
+    if (!needsKeys()) return undefined;
+    const isMissing = readers.isReader && freshness.ageMs > 2 * paceMs;
+    return readers.isFirstReader || isMissing ? paceMs : undefined;
+  }
+
+  /** How long a reader of the platform may wait for a change before it looks whether it should prove instead, ms. */
   get longestWaitMs(): number {
     return this.options.needsKeys() ? this.options.boundMs * WAIT_PART : Number.POSITIVE_INFINITY;
   }
--- a/packages/daemon/src/readers.ts
+++ b/packages/daemon/src/readers.ts
@@ -82,6 +82,11 @@
     return this.near.includes(this.membership.me.address);
   }
 
+  /** Whether this daemon is the first of them. */
+  get isFirstReader(): boolean {
+    return this.near[0] === this.membership.me.address;
+  }
+
   /** Whether this daemon has to read now: as a reader, or because it is alone. Before it has heard of others it doesn't know yet. */
   get isOnDuty(): boolean {
     const isAlone = this.clock.now() - this.membership.lastHeardAt > ALONE_AFTER_MS;
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -26,13 +26,13 @@
 import { type Quarantine, type QuarantineTable } from '@cleatquay/quarantine';
 import { HostRoutes, type RoutePlan } from '@cleatquay/routes';
 import { type ServiceBroker } from 'moleculer';
-import { type IncomingMessage, type ServerResponse, createServer } from 'node:http';
+import { createServer } from 'node:http';
 import { type Logger } from 'pino';
 import { logAdoption, logDoubt, logPeerFailure } from './adoptionLog.js';
 import { Core } from './core.js';
 import { takeOver } from './formerUpstreams.js';
 import { fleetQuotas } from './fleetQuotas.js';
-import { HttpListeners, addressOf, serverOf, startServers } from './httpListeners.js';
+import { HttpListeners, type Listener, addressOf, serverOf, startServers } from './httpListeners.js';
 import { Metrics } from './metrics.js';
 import { operatorGateway } from './operatorGateway.js';
 import { ProofRounds } from './proofRounds.js';
@@ -64,14 +64,6 @@
 /** Longest standing delay of an upstream's queue, ms: a fifth of the shortest of the usual targets. */
 const QUEUE_MS = 50;
 
-/** A plain HTTP listener of an installation, beside that for callers. */
-export interface Listener {
-  readonly name: string;
-  /** ip:port */
-  readonly address: string;
-  readonly handle: (request: IncomingMessage, response: ServerResponse) => void;
-}
-
 /** What differs between installations. */
 export interface Installation {
   readonly callers: CallerDialect;
@@ -378,6 +370,7 @@
       isOnDuty: () => this.readers.isOnDuty,
       waitMs: isFirst =>
         Math.min(this.readers.waitMs(isFirst), this.proofs?.longestWaitMs ?? Number.POSITIVE_INFINITY),
+      paceMs: () => this.proofs?.paceMs,
       pauseMs: () => this.readers.pauseMs,
       onReach: isReached => this.membership.setPlatformLost(!isReached),
       log: (message, facts) => this.configurationLog.info(facts, `Configuration: ${message}`),
--- a/tests/configurationWatch.spec.ts
+++ b/tests/configurationWatch.spec.ts
@@ -37,6 +37,7 @@
       source: { read: ask, next: ask },
       isOnDuty: () => isOnDuty,
       waitMs: () => 1000,
+      paceMs: () => undefined,
       pauseMs: () => 500,
       onReach: isReached => reached.push(isReached),
       log: () => undefined,
