Let operators see what each organisation sent, got and was refused, and make keys

Cause: an operator who is told that an organisation is refused had nothing to look at; explanations listed decisions without what decided them.

Change: each daemon counts ends of requests by organisation (of the configuration in force only, at GET /organisations; no metric an organisation); cleatquay organisations sums them over the fleet; cleatquay new-key makes a key, shown once, with its digest; explain shows what each decision rested on, with the organisation, its quota and the age of the proof. The status has the age of the proof.

--- a/packages/calls/src/callHandler.ts
+++ b/packages/calls/src/callHandler.ts
@@ -41,6 +41,12 @@
   readonly calls: readonly string[];
 }
 
+/** What a call needs of its route travels with it, so that two daemons need not have the same version in force. */
+export function routeOfHead({ service, context }: RequestHead): CallRoute | undefined {
+  if (!context) return undefined;
+  return { name: context.route, service, idempotent: context.idempotent, calls: [] };
+}
+
 /** A try that ended without an answer. */
 export interface RefusedTry {
   readonly refusal: Refusal;
--- a/packages/calls/src/index.ts
+++ b/packages/calls/src/index.ts
@@ -9,6 +9,7 @@
   answerOf,
   isLast,
   partsOf,
+  routeOfHead,
 } from './callHandler.js';
 export { Claims } from './claims.js';
 export { type CallerRequest, Entry, type EntryOptions } from './entry.js';
--- a/packages/calls/src/relay.ts
+++ b/packages/calls/src/relay.ts
@@ -5,12 +5,15 @@
  */
 import { strictLevelOf } from '@cleatquay/admission';
 import { CALLER_LEFT, type CancelSignal, Cancellation, type Clock, type Random } from '@cleatquay/clock';
+import { resultCodes } from '@cleatquay/errors';
 import { type CallContext, type Refusal, type RequestHead, endOf, refusalOf } from '@cleatquay/protocol';
 import {
   type Credentials,
   type Organisation,
+  type OrganisationCounts,
   type Quota,
   type Quotas,
+  type RequestEnd,
   type Taken,
 } from '@cleatquay/organisations';
 import { type HostRoute, type HostRoutes } from '@cleatquay/routes';
@@ -50,6 +53,9 @@
   /** Service of the upstream on this VM. */
   readonly originService: string;
   readonly quotas: () => Pick<Quotas, 'take' | 'giveBack'>;
+  readonly organisationCounts: OrganisationCounts;
+  /** How long ago the configuration was known to be the newest, ms. */
+  readonly proofAgeMs: () => number;
   /** Whether it is known that no key was taken away that the configuration in force still has. */
   readonly areKeysProven: () => boolean;
   /** Fresh requests at or above this level are refused at once: the process has no time for them. */
@@ -76,17 +82,26 @@
     if (parent) this.options.learned.saw(parent.route.name, { name: route.name, service });
     const sender = this.senderOf(request, routes, route, parent);
     if ('code' in sender) return this.refuseSender(request, sender);
-    const rank = routes.rankOf(route, sender.organisation);
-    const context = this.context(request, { ...route, rank }, parent, sender.organisation);
+    const { organisation } = sender;
+    const rank = routes.rankOf(route, organisation);
+    const context = this.context(request, { ...route, rank }, parent, organisation);
     const isRefused = !parent && strictLevelOf(context.class, context.rootId) >= this.options.pressureLevel();
     if (isRefused) return this.refuseForPressure(context);
     if (context.remainingMs > this.options.timeLeftMs()) return this.refuseForEnd(context);
     const go = (left: CallContext) =>
       this.withinTimeout(request, left, route, service, new ReplayBody(source), signal);
-    const { organisation } = sender;
-    return organisation?.quota
-      ? this.withinQuota(organisation.name, organisation.quota, context, go)
-      : go(context);
+    return organisation ? this.counted(organisation, context, go) : go(context);
+  }
+
+  private async counted(
+    organisation: Organisation,
+    context: CallContext,
+    go: (context: CallContext) => Promise<CallAnswer>,
+  ): Promise<CallAnswer> {
+    const { name, quota } = organisation;
+    const answer = await (quota ? this.withinQuota(name, quota, context, go) : go(context));
+    this.options.organisationCounts.ended(name, endOfRequest(answer));
+    return answer;
   }
 
   /** Before it takes a slot or a retry anywhere. Room that was taken for a request that ran nowhere is given back. */
@@ -99,7 +114,7 @@
     const { clock, quotas } = this.options;
     const startedAt = clock.now();
     const taken = await quotas().take(organisation, quota);
-    if (taken.kind !== 'taken') return this.refuseForQuota(context, organisation, taken);
+    if (taken.kind !== 'taken') return this.refuseForQuota(context, organisation, quota, taken);
     const remainingMs = Math.max(1, Math.floor(context.remainingMs - (clock.now() - startedAt)));
     const answer = await go({ ...context, remainingMs });
     if (answer.first.refusal?.outcome === 'not-run') quotas().giveBack(organisation, taken.at);
@@ -109,9 +124,14 @@
   private refuseForQuota(
     { requestId }: CallContext,
     organisation: string,
+    quota: Quota,
     taken: Exclude<Taken, { kind: 'taken' }>,
   ): CallAnswer {
-    this.options.journal.note(requestId, 'Refused by its quota.', { organisation, ...taken });
+    this.options.journal.note(requestId, 'Refused by its quota.', {
+      ...this.factsOf(organisation),
+      ...quota,
+      ...taken,
+    });
     const refusal =
       taken.kind === 'over'
         ? refusalOf('quotaExceeded', `${organisation} has sent what its quota allows.`, {
@@ -220,6 +240,7 @@
       generation: context.generation,
       class: context.class,
       remainingMs: context.remainingMs,
+      ...(context.organisation !== '' && this.factsOf(context.organisation)),
     });
     const callRoute: CallRoute = { name: route.name, service, idempotent: route.idempotent, calls: [] };
     const { method, path, headers } = request;
@@ -247,6 +268,10 @@
     });
   }
 
+  private factsOf(organisation: string) {
+    return { organisation, proofAgeMs: Math.round(this.options.proofAgeMs()) };
+  }
+
   private noteEnd(requestId: string, { first }: CallAnswer, ms: number): void {
     const { journal } = this.options;
     const { refusal, head } = first;
@@ -293,6 +318,12 @@
 
 const NOBODY: Sender = { organisation: undefined };
 
+function endOfRequest({ first: { refusal, head } }: CallAnswer): RequestEnd {
+  if (refusal?.code === resultCodes.quotaExceeded.code) return 'over-quota';
+  if (refusal) return refusal.outcome === 'not-run' ? 'refused' : 'failed';
+  return (head?.status ?? 0) < FIRST_SERVER_ERROR ? 'answered' : 'failed';
+}
+
 /** Answers from this status on are failures of the upstream, or of something that it called. */
 const FIRST_SERVER_ERROR = 500;
 
--- a/packages/cli/src/fleetCommands.ts
+++ b/packages/cli/src/fleetCommands.ts
@@ -1,6 +1,7 @@
 /** status, members, routes, dump, drain, undrain, explain, and waiting for a generation to be in force. */
 import { type Clock } from '@cleatquay/clock';
 import { Failure, type ResultName } from '@cleatquay/errors';
+import { type EndCounts, type RequestEnd } from '@cleatquay/organisations';
 import { request } from 'undici';
 import { table } from './output.js';
 
@@ -97,6 +98,22 @@
     return table(['service', 'upstream', 'daemon', 'failure domain', 'state'], rows.sort());
   }
 
+  /** What each organisation sent to the daemons that answer, and how that ended. */
+  async organisations(): Promise<string> {
+    const { members } = await ask<DaemonStatus>(this.daemon, 'GET', '/status');
+    const up = members.filter(({ state }) => state === 'ALIVE');
+    const counts = await Promise.all(
+      up.map(({ operatorAddress }) =>
+        ask<Record<string, EndCounts>>(operatorAddress, 'GET', '/organisations').catch(() => undefined),
+      ),
+    );
+    const answered = counts.filter(count => count !== undefined);
+    const rows = organisationRows(answered);
+    if (rows.length === 0) return 'No organisation has sent a request.';
+    const head = ['organisation', 'sent', 'answered', 'over quota', 'refused', 'failed'];
+    return `${table(head, rows)}\n${String(answered.length)} of ${String(up.length)} daemons answered.`;
+  }
+
   /** The whole state of the daemon's process. */
   async dump(): Promise<string> {
     return JSON.stringify(await ask(this.daemon, 'GET', '/dump'), undefined, 2);
@@ -134,7 +151,7 @@
     const rows = await Promise.all(members.map(member => explanations(member, requestId)));
     const sorted = rows.flat().sort((a, b) => (a[0] ?? '').localeCompare(b[0] ?? ''));
     return sorted.length > 0
-      ? table(['at', 'daemon', 'request', 'decision'], sorted)
+      ? table(['at', 'daemon', 'request', 'decision', 'what decided it'], sorted)
       : 'No daemon remembers that request.';
   }
 
@@ -162,6 +179,18 @@
   }
 }
 
+/** Sums over daemons, those that sent most first. */
+function organisationRows(counts: readonly Record<string, EndCounts>[]): (string | number)[][] {
+  const names = [...new Set(counts.flatMap(count => Object.keys(count)))];
+  const sum = (name: string, end: RequestEnd) =>
+    counts.reduce((total, count) => total + (count[name]?.[end] ?? 0), 0);
+  const rows = names.map(name => {
+    const ends = (['answered', 'over-quota', 'refused', 'failed'] as const).map(end => sum(name, end));
+    return [name, ends.reduce((total, end) => total + end, 0), ...ends];
+  });
+  return rows.sort((a, b) => Number(b[1]) - Number(a[1]));
+}
+
 async function statusOf({ operatorAddress }: MemberStatus): Promise<DaemonStatus | undefined> {
   return ask<DaemonStatus>(operatorAddress, 'GET', '/status').catch(() => undefined);
 }
@@ -188,16 +217,22 @@
 
 async function explanations(member: MemberStatus, requestId: string): Promise<string[][]> {
   const path = `/explain/${encodeURIComponent(requestId)}`;
-  const found = await ask<Record<string, { at: string; what: string }[]>>(
+  const found = await ask<Record<string, { at: string; what: string; facts: object }[]>>(
     member.operatorAddress,
     'GET',
     path,
   ).catch(() => ({}));
   return Object.entries(found).flatMap(([id, decisions]) =>
-    decisions.map(d => [d.at, member.address, id, d.what]),
+    decisions.map(d => [d.at, member.address, id, d.what, readable(d.facts)]),
   );
 }
 
+function readable(facts: object): string {
+  return Object.entries(facts)
+    .map(([name, value]) => `${name}=${String(value)}`)
+    .join(' ');
+}
+
 async function ask<T>(operatorAddress: string, method: 'GET' | 'POST', path: string): Promise<T> {
   const { status, text } = await answerOf(operatorAddress, method, path);
   if (status === 200) return JSON.parse(text) as T;
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -9,6 +9,7 @@
 import { type Accepted, ConfigurationCommands } from './configurationCommands.js';
 import { FleetCommands } from './fleetCommands.js';
 import { explainFromLogs, readLogs } from './logExplanation.js';
+import { newKey } from './newKey.js';
 
 /** 2: input; 3: another operator was first; 4: accepted, not yet seen everywhere; 5: platform or daemon gave no answer. */
 const EXIT_CODES: Partial<Record<ResultName, number>> = {
@@ -151,6 +152,18 @@
     y => y,
     async a => print(await fleet(a).drain(false)),
   )
+  .command(
+    'organisations',
+    'what each organisation sent, got, and was refused',
+    y => y,
+    async a => print(await fleet(a).organisations()),
+  )
+  .command(
+    'new-key',
+    'a key for an organisation, shown once, and the digest by which daemons know it',
+    y => y,
+    () => print(newKey()),
+  )
   .command(
     'quarantine',
     'requests that are held back since upstreams ended under them',
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -245,6 +245,7 @@
         quarantine: this.core.quarantine,
         faults: settings.faultHooks ? this.faults : undefined,
         isReady: () => this.configuration.generation > 0,
+        organisations: () => ({}),
         status: () => statusOf(this.reported),
         dump: () => dumpOf(this.reported),
         setDraining: draining => this.upstreams.setDraining(draining),
--- a/packages/daemon/src/operatorGateway.ts
+++ b/packages/daemon/src/operatorGateway.ts
@@ -28,6 +28,8 @@
   readonly faults: Faults | undefined;
   readonly isReady: () => boolean;
   readonly status: () => object;
+  /** What each organisation sent to this daemon, and how that ended. */
+  readonly organisations: () => object;
   readonly dump: () => object;
   readonly setDraining: (draining: boolean) => void;
 }
@@ -53,6 +55,7 @@
             'GET /metrics': (_request: IncomingMessage, response: ServerResponse) =>
               void writeMetrics(metrics, response),
             'GET /status': 'operators.status',
+            'GET /organisations': 'operators.organisations',
             'GET /dump': 'operators.dump',
             'GET /explain/:id': 'operators.explain',
             'POST /upstreams': 'operators.announce',
@@ -68,6 +71,7 @@
     actions: {
       health: () => ({ healthy: true }),
       status: () => options.status(),
+      organisations: () => options.organisations(),
       dump: () => options.dump(),
       explain: (context: { params: { id: string } }) => journal.find(decodeURIComponent(context.params.id)),
       async announce(context: { params: unknown }) {
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -1,13 +1,13 @@
 /** The daemon for unchanged callers: the same core behind routes by host and path, with every daemon watching the source. */
 import { ProcessorPressure } from '@cleatquay/admission';
 import {
-  type CallRoute,
   FleetRetryBudget,
   LearnedCalls,
   Relay,
   type UpstreamDialect,
   WorkTurns,
   answerOf,
+  routeOfHead,
 } from '@cleatquay/calls';
 import { type Clock, type Random } from '@cleatquay/clock';
 import {
@@ -21,8 +21,8 @@
 } from '@cleatquay/configuration';
 import { Failure } from '@cleatquay/errors';
 import { type KeptState, Meeting, type MeetingTable, type Membership } from '@cleatquay/membership';
-import { type Quotas } from '@cleatquay/organisations';
-import { type Refusal, type RequestHead, endOf, refusalOf } from '@cleatquay/protocol';
+import { OrganisationCounts, type Quotas } from '@cleatquay/organisations';
+import { type Refusal, endOf, refusalOf } from '@cleatquay/protocol';
 import { type Quarantine, type QuarantineTable } from '@cleatquay/quarantine';
 import { HostRoutes, type RoutePlan } from '@cleatquay/routes';
 import { type ServiceBroker } from 'moleculer';
@@ -106,6 +106,7 @@
   /** Undefined where keys need no proof. */
   private proofs: ProofRounds | undefined;
   quotas!: Quotas;
+  private readonly organisationCounts = new OrganisationCounts();
   private readonly listeners = new HttpListeners(this.broker);
   private inFlight = 0;
   /** Importance classes of the configuration in force. */
@@ -282,7 +283,7 @@
       retries: new FleetRetryBudget(clock, retries, () => this.membership.aliveCount() + 1),
       freeMoves: 3,
       signalsEndInTime: true,
-      routeOf: routeOfCall,
+      routeOf: routeOfHead,
       callsOf: ({ name }) => this.learned.of(name),
       memoryMs: () => MEMORY_MS,
       isCut: () => false,
@@ -315,6 +316,8 @@
       running: this.core.running,
       learned: this.learned,
       quotas: () => this.quotas,
+      organisationCounts: this.organisationCounts,
+      proofAgeMs: () => this.freshness.ageMs,
       areKeysProven: () => this.proofs?.isProven ?? true,
       pressureLevel: () => this.pressure.level,
       timeLeftMs: () => this.endsAt - clock.now(),
@@ -428,6 +431,7 @@
         quarantine: this.core.quarantine,
         faults: undefined,
         isReady: () => this.isReady,
+        organisations: () => this.organisationCounts.report,
         status: () => relayStatus(this.reported),
         dump: () => relayDump(this.reported),
         setDraining: draining => this.upstreams.setDraining(draining),
@@ -448,7 +452,9 @@
     this.classes = this.configuration.inForce?.classes ?? 1;
     this.core.membership.setConfiguration(this.configuration);
     this.gateway.applyConfiguration();
-    this.quotas.adopt(this.configuration.inForce?.keyring?.organisations ?? []);
+    const organisations = this.configuration.inForce?.keyring?.organisations ?? [];
+    this.quotas.adopt(organisations);
+    this.organisationCounts.keepOnly(new Set(organisations.map(({ name }) => name)));
   }
 
   private started(): (refusal: Refusal | undefined) => void {
@@ -468,12 +474,6 @@
     const { configuration, membership, upstreams } = this;
     const { router, running, tries, quarantine } = this.core;
     const parts = { configuration, membership, upstreams, router, running, tries, quarantine };
-    return { ...parts, inFlight: this.inFlight };
+    return { ...parts, inFlight: this.inFlight, freshness: this.freshness };
   }
 }
-
-/** What a call needs of its route travels with it, so that two daemons need not have the same version in force. */
-function routeOfCall({ service, context }: RequestHead): CallRoute | undefined {
-  if (!context) return undefined;
-  return { name: context.route, service, idempotent: context.idempotent, calls: [] };
-}
--- a/packages/daemon/src/relayReport.ts
+++ b/packages/daemon/src/relayReport.ts
@@ -1,6 +1,6 @@
 /** What a daemon for unchanged callers tells operators of itself. */
 import { type RunningCalls, type TryMemory } from '@cleatquay/calls';
-import { type Configuration } from '@cleatquay/configuration';
+import { type Configuration, type Freshness } from '@cleatquay/configuration';
 import { invariantViolations } from '@cleatquay/errors';
 import { type Membership } from '@cleatquay/membership';
 import { type Quarantine } from '@cleatquay/quarantine';
@@ -18,17 +18,19 @@
   readonly tries: TryMemory;
   readonly quarantine: Quarantine;
   readonly inFlight: number;
+  readonly freshness: Freshness;
 }
 
 /** What it has in force, and whom it knows. */
 export function relayStatus(parts: RelayReportParts): object {
-  const { configuration, membership, upstreams, quarantine, inFlight } = parts;
+  const { configuration, membership, upstreams, quarantine, inFlight, freshness } = parts;
   return {
     address: membership.me.address,
     failureDomain: membership.me.failureDomain,
     generation: configuration.generation,
     digest: configuration.digest,
     adoptedAt: configuration.adoptedAt,
+    proofAgeMs: Math.round(freshness.ageMs),
     upstreams: upstreams.dump(),
     members: [...membership.table.all()],
     quarantine: quarantine.report,
--- a/packages/organisations/src/index.ts
+++ b/packages/organisations/src/index.ts
@@ -7,4 +7,5 @@
 export { LOAN_MS, ShareLoans } from './shareLoans.js';
 export { SHARDS, holderOf, shardOf } from './shards.js';
 export { Keyring } from './keyring.js';
+export { type EndCounts, OrganisationCounts, type RequestEnd } from './organisationCounts.js';
 export { type Organisation, type Quota } from './organisation.js';
--- a/tests/relay.spec.ts
+++ b/tests/relay.spec.ts
@@ -8,6 +8,7 @@
   answerOf,
 } from '@cleatquay/calls';
 import { CALLER_LEFT, type CancelSignal, Cancellation, ManualClock, NEVER_CANCELLED } from '@cleatquay/clock';
+import { OrganisationCounts } from '@cleatquay/organisations';
 import { endOf, refusalOf } from '@cleatquay/protocol';
 import { type HostRoute, HostRoutes } from '@cleatquay/routes';
 import { expect } from 'chai';
@@ -70,6 +71,8 @@
       quotas: () => {
         throw new Error('Nobody has a quota here.');
       },
+      organisationCounts: new OrganisationCounts(),
+      proofAgeMs: () => 0,
       areKeysProven: () => true,
       pressureLevel: () => Number.POSITIVE_INFINITY,
       timeLeftMs: () => timeLeftMs,
