Let the operators' file declare organisations, and its daemons keep their keys and quotas

Cause: only the users' platform had organisations; the product's own file, its schema and its daemons knew nothing of them.

Change: the file declares organisations by digests of their keys, rank and quota, and routes that are public; each is a section of its own. What decides whose a request is (Senders) and whether its quota has room (QuotaGate) moved out of the relay into files of their own and serves both entries; OrganisationSide wires both kinds of daemons alike. A request that is sent again with its id takes no more of a quota. Settings: revocationMs, failureDomains, quotaSlack.

--- a/packages/calls/src/entry.ts
+++ b/packages/calls/src/entry.ts
@@ -8,6 +8,7 @@
   endOf,
   refusalOf,
 } from '@cleatquay/protocol';
+import { type Credentials, type Organisation } from '@cleatquay/organisations';
 import { type Directory } from '@cleatquay/routing';
 import { type CallGraph, type Route } from '@cleatquay/settings';
 import { replay } from './answers.js';
@@ -19,9 +20,11 @@
 import { LostContact } from './lostContact.js';
 import { type Peers } from './peers.js';
 import { type HeaderBlock } from './headers.js';
+import { type QuotaGate, type SendOn } from './quotaGate.js';
 import { ReplayBody } from './replayBody.js';
 import { type RequestIds, parseRequestId } from './requestId.js';
 import { type RunningCall, type RunningCalls } from './runningCalls.js';
+import { type Sender, type Senders } from './senders.js';
 
 const DEEPEST = 16;
 const SEARCHED_DAEMONS = 32;
@@ -39,6 +42,8 @@
   readonly idempotencyKey: string | undefined;
   readonly parent: string | undefined;
   readonly callKey: string | undefined;
+  /** What the caller shows of itself, where requests need keys. */
+  readonly credentials: Credentials;
   readonly timeoutMs: number | undefined;
   /** Told the id that the request got. */
   readonly onRequestId?: (requestId: string) => void;
@@ -59,6 +64,8 @@
   readonly claims: Claims;
   readonly running: RunningCalls;
   readonly journal: Journal;
+  readonly senders: Senders;
+  readonly quotaGate: QuotaGate;
 }
 
 /** A request that is known to be allowed, on its way. */
@@ -90,9 +97,14 @@
       yield endOf(this.truthful(request, refusal ?? refusalOf('routeUnknown', 'Unknown route.')), 0);
       return;
     }
+    const sender = this.senderOf(request, route, parent);
+    if ('code' in sender) {
+      yield endOf(this.truthful(request, sender), 0);
+      return;
+    }
     const body = new ReplayBody(source);
     if (parent) yield* this.child(request, route, parent, body, signal);
-    else yield* this.root(request, route, body, signal);
+    else yield* this.root(request, route, sender.organisation, body, signal);
   }
 
   /** A resend that a peer forwarded to the home of its id. */
@@ -114,10 +126,30 @@
       yield endOf(refusalOf('requestIdInvalid', 'The id has another home.', { outcome: 'unknown' }), 0);
       return;
     }
-    const context = this.rootContext(route, id, head.context?.remainingMs);
+    const organisation = this.options.graph()?.keyring?.get(head.context?.organisation ?? '');
+    const context = this.rootContext(route, id, head.context?.remainingMs, organisation);
     yield* this.atHome({ route, head: { ...head, context }, context, body: new ReplayBody(source), signal });
   }
 
+  private senderOf(
+    { credentials }: CallerRequest,
+    route: Route,
+    parent: RunningCall | undefined,
+  ): Sender | Refusal {
+    const { senders, graph } = this.options;
+    const isCall = parent !== undefined;
+    return senders.of({ credentials, keyring: graph()?.keyring, isPublic: route.public, isCall });
+  }
+
+  /** By its quota, if it is an organisation's. */
+  private sendOn(
+    organisation: Organisation | undefined,
+    context: CallContext,
+    go: SendOn,
+  ): Promise<CallAnswer> {
+    return organisation ? this.options.quotaGate.pass(organisation, context, go) : go(context);
+  }
+
   private refuse(
     request: CallerRequest,
     route: Route | undefined,
@@ -158,6 +190,7 @@
     const remainingMs = Math.floor(parent.deadlineAt - clock.now());
     const context: CallContext = {
       ...parent.context,
+      organisation: '',
       requestId: parent.childId(request.callKey),
       try: 1,
       remainingMs: Math.max(0, Math.min(remainingMs, route.timeoutMs, request.timeoutMs ?? route.timeoutMs)),
@@ -196,15 +229,19 @@
   private async *root(
     request: CallerRequest,
     route: Route,
+    organisation: Organisation | undefined,
     body: ReplayBody,
     signal: CancelSignal,
   ): AsyncGenerator<AnswerPart> {
     const { ids, home, forwarder } = this.options;
     const lifetimeMs = this.options.graph()?.file.requestIdLifetimeMs ?? 0;
     if (route.idempotent) {
-      const context = this.rootContext(route, request.requestId ?? ids.issue(lifetimeMs), request.timeoutMs);
+      const id = request.requestId ?? ids.issue(lifetimeMs);
+      const context = this.rootContext(route, id, request.timeoutMs, organisation);
       request.onRequestId?.(context.requestId);
-      const answer = forwarder.forward(route, headOf(request, context), context, body, signal);
+      const answer = this.sendOn(organisation, context, c =>
+        forwarder.forward(route, headOf(request, c), c, body, signal),
+      );
       for await (const part of partsOf(answer)) {
         yield part.refusal ? { ...part, refusal: this.truthful(request, part.refusal) } : part;
       }
@@ -220,7 +257,7 @@
       yield endOf(refusalOf('claimsUnavailable', "The key could not be claimed in the platform's table."), 0);
       return;
     }
-    const context = this.rootContext(route, id, request.timeoutMs);
+    const context = this.rootContext(route, id, request.timeoutMs, organisation);
     request.onRequestId?.(id);
     yield* this.withId({ route, head: headOf(request, context), context, body, signal });
   }
@@ -253,7 +290,12 @@
     }
     await call.body.prepare();
     const { route, head, context, body } = call;
-    const start = () => forwarder.forward(route, head, context, body, NEVER);
+    // Once for each id, so that a request that is sent again takes no more of a quota.
+    const organisation = this.options.graph()?.keyring?.get(context.organisation);
+    const start = () =>
+      this.sendOn(organisation, context, c =>
+        forwarder.forward(route, { ...head, context: c }, c, body, NEVER),
+      );
     yield* home.once(requestId, Math.max(1, lifetimeMs), remainingMs, call.signal, start);
   }
 
@@ -298,12 +340,17 @@
     yield endOf(otherwise, 0);
   }
 
-  private rootContext(route: Route, requestId: string, timeoutMs: number | undefined): CallContext {
+  private rootContext(
+    route: Route,
+    requestId: string,
+    timeoutMs: number | undefined,
+    organisation: Organisation | undefined,
+  ): CallContext {
     return {
       requestId,
       try: 1,
       rootId: requestId,
-      class: route.rank,
+      class: this.options.graph()?.rankOf(route, organisation) ?? route.rank,
       remainingMs: Math.min(route.timeoutMs, timeoutMs ?? route.timeoutMs),
       retryTokens: this.options.graph()?.file.retryBudget ?? 0,
       depth: 0,
@@ -315,7 +362,7 @@
       originService: '',
       isRepeat: false,
       callsBefore: 0,
-      organisation: '',
+      organisation: organisation?.name ?? '',
     };
   }
 }
--- a/packages/calls/src/headers.ts
+++ b/packages/calls/src/headers.ts
@@ -15,8 +15,13 @@
   /** From an upstream, on 503: it ran nothing. */
   notRun: 'cleatquay-not-run',
   idempotencyKey: 'idempotency-key',
+  /** On requests to upstreams: the organisation whose key the request bore. */
+  organisation: 'cleatquay-organisation',
 } as const;
 
+/** Bears a caller's key, where requests need one. */
+export const CREDENTIALS = 'authorization';
+
 /** Headers that concern one connection, or the framing of one message. */
 export const CONNECTION_HEADERS: readonly string[] = [
   'connection',
@@ -38,6 +43,9 @@
   ...Object.values(headerNames),
 ]);
 
+/** The same where requests bear keys. */
+export const OWN_HEADERS_WITH_KEYS: ReadonlySet<string> = new Set([...OWN_HEADERS, CREDENTIALS]);
+
 /**
  * A list of headers as one text, names and values by turns, each ended by a line feed, which no header can hold. One
  * text costs the inner protocol a tenth of what a message for each header does.
--- a/packages/calls/src/index.ts
+++ b/packages/calls/src/index.ts
@@ -16,6 +16,9 @@
 export { Forwarder, type ForwarderOptions } from './forwarder.js';
 export {
   CONNECTION_HEADERS,
+  CREDENTIALS,
+  OWN_HEADERS,
+  OWN_HEADERS_WITH_KEYS,
   type HeaderBlock,
   headerList,
   headerNames,
@@ -43,6 +46,8 @@
 export { type UpstreamEnd, UpstreamEnds, type UpstreamEndsOptions, fingerprintAt } from './upstreamEnds.js';
 export { type AnswerMeaning, type UpstreamDialect, ownDialect } from './upstreamDialect.js';
 export { type FleetRetryBounds, FleetRetryBudget } from './fleetRetryBudget.js';
+export { QuotaGate, type QuotaGateOptions } from './quotaGate.js';
+export { Senders } from './senders.js';
 export { Relay, type RelayOptions, type RelayedRequest } from './relay.js';
 export { type CalledRoute, LearnedCalls } from './learnedCalls.js';
 export {
--- /dev/null
+++ b/packages/calls/src/quotaGate.ts
@@ -0,0 +1,96 @@
+/** Lets requests of organisations on within their quotas, before they take a slot or a retry anywhere, and counts how they end. */
+import { type Clock } from '@cleatquay/clock';
+import { resultCodes } from '@cleatquay/errors';
+import {
+  type Organisation,
+  type OrganisationCounts,
+  type Quota,
+  type Quotas,
+  type RequestEnd,
+  type Taken,
+} from '@cleatquay/organisations';
+import { type CallContext, type Refusal, endOf, refusalOf } from '@cleatquay/protocol';
+import { type CallAnswer, answerOf } from './callHandler.js';
+import { type Journal } from './journal.js';
+import { FIRST_SERVER_ERROR, noteEnd } from './requestNotes.js';
+
+/** Nobody who gives out quotas could be asked: the next daemon that does has them within a second. */
+const UNREACHABLE_RETRY_MS = 500;
+
+/** What the gate needs of its daemon. */
+export interface QuotaGateOptions {
+  readonly clock: Clock;
+  readonly journal: Journal;
+  readonly quotas: () => Pick<Quotas, 'take' | 'giveBack'>;
+  readonly counts: OrganisationCounts;
+  /** How long ago the configuration was known to be the newest, ms. */
+  readonly proofAgeMs: () => number;
+}
+
+/** Sends a request on. */
+export type SendOn = (context: CallContext) => Promise<CallAnswer>;
+
+/** The gate of one daemon. */
+export class QuotaGate {
+  constructor(private readonly options: QuotaGateOptions) {}
+
+  /** One request of an organisation. */
+  async pass(organisation: Organisation, context: CallContext, go: SendOn): Promise<CallAnswer> {
+    const { name, quota } = organisation;
+    const answer = await (quota ? this.withinQuota(name, quota, context, go) : go(context));
+    this.options.counts.ended(name, endOfRequest(answer));
+    return answer;
+  }
+
+  /** What is noted of an organisation's request. */
+  factsOf(organisation: string): { organisation: string; proofAgeMs: number } {
+    return { organisation, proofAgeMs: Math.round(this.options.proofAgeMs()) };
+  }
+
+  /** Room that was taken for a request that ran nowhere is given back. */
+  private async withinQuota(
+    organisation: string,
+    quota: Quota,
+    context: CallContext,
+    go: SendOn,
+  ): Promise<CallAnswer> {
+    const { clock, quotas } = this.options;
+    const startedAt = clock.now();
+    const taken = await quotas().take(organisation, quota);
+    if (taken.kind !== 'taken') return this.refuse(context, organisation, quota, taken);
+    const remainingMs = Math.max(1, Math.floor(context.remainingMs - (clock.now() - startedAt)));
+    const answer = await go({ ...context, remainingMs });
+    if (answer.first.refusal?.outcome === 'not-run') quotas().giveBack(organisation, taken.at);
+    return answer;
+  }
+
+  private refuse(
+    { requestId, retryTokens }: CallContext,
+    organisation: string,
+    quota: Quota,
+    taken: Exclude<Taken, { kind: 'taken' }>,
+  ): CallAnswer {
+    const { journal } = this.options;
+    const facts = { ...this.factsOf(organisation), ...quota, ...taken };
+    journal.note(requestId, 'Refused by its quota.', facts);
+    const answer = answerOf(endOf(refusalFor(organisation, taken), retryTokens));
+    noteEnd(journal, requestId, answer, 0);
+    return answer;
+  }
+}
+
+function refusalFor(organisation: string, taken: Exclude<Taken, { kind: 'taken' }>): Refusal {
+  if (taken.kind === 'unknown')
+    return refusalOf('quotaUnreachable', 'Nobody could be asked whether the quota has room.', {
+      retryAfterMs: UNREACHABLE_RETRY_MS,
+    });
+  return refusalOf('quotaExceeded', `${organisation} has sent what its quota allows.`, {
+    retryAfterMs: Math.max(1, Math.round(taken.retryAfterMs)),
+  });
+}
+
+function endOfRequest({ first: { refusal, head } }: CallAnswer): RequestEnd {
+  if (refusal?.code === resultCodes.quotaExceeded.code) return 'over-quota';
+  if (refusal) return refusal.outcome === 'not-run' ? 'refused' : 'failed';
+  return (head?.status ?? 0) < FIRST_SERVER_ERROR ? 'answered' : 'failed';
+}
--- a/packages/calls/src/upstreamDialect.ts
+++ b/packages/calls/src/upstreamDialect.ts
@@ -24,11 +24,12 @@
 
 /** The project's own marks. */
 export const ownDialect: UpstreamDialect = {
-  requestHeaders: ({ requestId, remainingMs }) => [
+  requestHeaders: ({ requestId, remainingMs, organisation }) => [
     headerNames.requestId,
     requestId,
     headerNames.timeoutMs,
     String(remainingMs),
+    ...(organisation === '' ? [] : [headerNames.organisation, organisation]),
   ],
   dropped: OWN_HEADERS,
   isOwnAnswer: () => true,
--- a/packages/configuration/src/configurationSpread.ts
+++ b/packages/configuration/src/configurationSpread.ts
@@ -3,6 +3,7 @@
 import { asFailure } from '@cleatquay/errors';
 import { ConfigurationAnswer, type ConfigurationRequest } from '@cleatquay/protocol';
 import { type Configuration } from './configuration.js';
+import { type Freshness } from './freshness.js';
 import { type ConfigurationStore } from './configurationStore.js';
 
 const READ_EVERY_MS = 1000;
@@ -26,6 +27,8 @@
   readonly configuration: Configuration<unknown>;
   /** Absent when the daemon's settings name no platform. */
   readonly store: ConfigurationStore | undefined;
+  /** Told what each read proves. */
+  readonly freshness: Freshness;
   /** Whether this daemon is one of those of its failure domain that read the platform. */
   readonly isReader: () => boolean;
   /** Told after each read whether the platform can be reached. */
@@ -120,13 +123,15 @@
   }
 
   private async tryToRead(store: ConfigurationStore): Promise<boolean> {
-    const { configuration } = this.options;
+    const { configuration, freshness } = this.options;
+    const begun = freshness.moment();
     this.state.platformReads++;
     try {
       const { generation, applyId } = await store.current();
       const isKnown = generation === configuration.generation && applyId === configuration.applyId;
-      if (generation < configuration.generation || (isKnown && !this.isInDoubt)) return true;
-      configuration.adopt(await store.read(), 'platform');
+      const isNew = generation >= configuration.generation && (!isKnown || this.isInDoubt);
+      if (isNew) configuration.adopt(await store.read(), 'platform');
+      freshness.confirmed(begun);
       return true;
     } catch (error) {
       this.state.platformFailures++;
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -10,5 +10,5 @@
   joinSections,
   splitSections,
 } from './sections.js';
-export { Freshness, type HeardProof, type Moment } from './freshness.js';
+export { Freshness, type HeardProof, type Moment, type ProvenConfiguration } from './freshness.js';
 export { ConfigurationWatch, type ConfigurationSource, type SourcedVersion } from './configurationWatch.js';
--- a/packages/configuration/src/sections.ts
+++ b/packages/configuration/src/sections.ts
@@ -1,9 +1,10 @@
-/** A configuration in sections, one for each service and one for the rest, so that small changes travel small. */
+/** A configuration in sections, one for each service and each organisation and one for the rest, so that small changes travel small. */
 import { type OperatorFile, checkOperatorFile } from '@cleatquay/settings';
 import { createHash } from 'node:crypto';
 
 const GENERAL = 'general';
 const SERVICE = 'service:';
+const ORGANISATION = 'organisation:';
 
 /** Hexadecimal digits of a digest: 64 bits, so that two contents share one by chance once in billions of billions. */
 const DIGEST_DIGITS = 16;
@@ -19,21 +20,32 @@
 
 /** Takes a file apart. */
 export function splitSections(file: OperatorFile): Sections {
-  const { services, ...general } = file;
-  const entries = Object.entries(services).map(
-    ([name, service]) => [SERVICE + name, JSON.stringify(service)] as const,
-  );
-  return new Map([[GENERAL, JSON.stringify(general)], ...entries]);
+  const { services, organisations, ...rest } = file;
+  const general = { ...rest, ...(organisations && { organisations: {} }) };
+  return new Map([
+    [GENERAL, JSON.stringify(general)],
+    ...sectionsOf(SERVICE, services),
+    ...sectionsOf(ORGANISATION, organisations ?? {}),
+  ]);
 }
 
 /** Puts a file together again and checks it. */
 export function joinSections(sections: Sections): OperatorFile {
-  const services: Record<string, unknown> = {};
-  for (const [name, content] of sections) {
-    if (name.startsWith(SERVICE)) services[name.slice(SERVICE.length)] = JSON.parse(content);
-  }
-  const general = JSON.parse(sections.get(GENERAL) ?? '{}') as object;
-  return checkOperatorFile({ ...general, services });
+  const general = JSON.parse(sections.get(GENERAL) ?? '{}') as { organisations?: object };
+  const organisations = general.organisations && partsOf(sections, ORGANISATION);
+  const services = partsOf(sections, SERVICE);
+  return checkOperatorFile({ ...general, ...(organisations && { organisations }), services });
+}
+
+function sectionsOf(prefix: string, parts: object): [string, string][] {
+  return Object.entries(parts).map(([name, part]) => [prefix + name, JSON.stringify(part)]);
+}
+
+function partsOf(sections: Sections, prefix: string): Record<string, unknown> {
+  const ofKind = [...sections].filter(([name]) => name.startsWith(prefix));
+  return Object.fromEntries(
+    ofKind.map(([name, content]) => [name.slice(prefix.length), JSON.parse(content) as unknown]),
+  );
 }
 
 /** Names the content: equal sections in whatever order have the same digest, others have another one. */
--- a/packages/daemon/src/callerAnswer.ts
+++ b/packages/daemon/src/callerAnswer.ts
@@ -4,8 +4,12 @@
   type CallerRequest,
   headerNames,
   headerList,
+  CREDENTIALS,
+  OWN_HEADERS,
+  OWN_HEADERS_WITH_KEYS,
   passedRawHeaders,
 } from '@cleatquay/calls';
+import { credentialsIn } from '@cleatquay/organisations';
 import { Failure, resultByCode, resultCodes } from '@cleatquay/errors';
 import { type AnswerHead, type AnswerPart, type Refusal, refusalOf } from '@cleatquay/protocol';
 import { once } from 'node:events';
@@ -24,14 +28,15 @@
 export const CALLER_GONE = refusalOf('contactLost', 'The caller left.');
 
 /** Reads service, path and the system's headers off an HTTP request. */
-export function callerRequest(request: IncomingMessage): CallerRequest {
+export function callerRequest(request: IncomingMessage, needsKeys: boolean): CallerRequest {
   const url = request.url ?? '/';
   const [, service = '', rest = ''] = /^\/([^/?]+)(.*)$/.exec(url) ?? [];
   return {
     service,
     method: request.method ?? 'GET',
     path: rest.startsWith('/') ? rest : `/${rest}`,
-    headers: passedRawHeaders(request.rawHeaders),
+    headers: passedRawHeaders(request.rawHeaders, needsKeys ? OWN_HEADERS_WITH_KEYS : OWN_HEADERS),
+    credentials: needsKeys ? credentialsIn(request.rawHeaders, CREDENTIALS) : 'none',
     requestId: header(request, headerNames.requestId),
     idempotencyKey: header(request, headerNames.idempotencyKey),
     parent: header(request, headerNames.parent),
--- a/packages/daemon/src/callerGateway.ts
+++ b/packages/daemon/src/callerGateway.ts
@@ -23,6 +23,8 @@
   readonly port: number;
   readonly entry: Entry;
   readonly metrics: Metrics;
+  /** Whether requests need keys. */
+  readonly needsKeys: () => boolean;
   /** Undefined, or how far the daemon's own departure is. */
   readonly leaving: () => 'announced' | 'refusing' | undefined;
   readonly turns: WorkTurns;
@@ -41,7 +43,7 @@
     if (gone.aborted) return end('', CALLER_GONE);
     try {
       const onRequestId = (id: string) => void response.setHeader(headerNames.requestId, id);
-      const parsed: CallerRequest = { ...callerRequest(request), onRequestId };
+      const parsed: CallerRequest = { ...callerRequest(request, options.needsKeys()), onRequestId };
       if (leaving === 'refusing' && parsed.parent === undefined) return refuseLeaving(parsed, response);
       const parts = options.entry.handle(parsed, bodyOf(request), gone.signal);
       const refusal = await writeParts(response, parts, ownWriter);
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -31,6 +31,8 @@
 import { Metrics } from './metrics.js';
 import { operatorGateway } from './operatorGateway.js';
 import { addressOf, serverOf, startServers } from './httpListeners.js';
+import { addOrganisationGauges } from './organisationGauges.js';
+import { OrganisationSide } from './organisationSide.js';
 import { addQuarantineGauges } from './quarantineGauges.js';
 import { quietBroker } from './quietBroker.js';
 import { readersOf } from './readers.js';
@@ -45,6 +47,8 @@
 const HEARTBEAT_MS = 1000;
 /** Longest standing delay before there is a configuration, ms. */
 const DEFAULT_QUEUE_MS = 50;
+/** A daemon has heard of all others so long after its start, ms. */
+const JOINED_AFTER_MS = 3000;
 /** As many as an operators' file may have: what counts before there is one. */
 const MOST_CLASSES = 16;
 
@@ -71,6 +75,7 @@
   private core!: Core;
   private entry!: Entry;
   private spread!: ConfigurationSpread;
+  private readonly organisations: OrganisationSide;
   private callerAddress = '';
   private leaving: 'announced' | 'refusing' | undefined;
 
@@ -82,9 +87,10 @@
       sections => new CallGraph(joinSections(sections)),
       adoption => {
         logAdoption(this.configurationLog, adoption);
-        this.core.membership.setConfiguration(this.configuration);
+        this.adopted();
       },
     );
+    this.organisations = this.makeOrganisationSide();
     this.home = new Home(clock);
     this.store = settings.platform === undefined ? undefined : new HttpStore(settings.platform);
     this.broker = quietBroker();
@@ -95,10 +101,12 @@
   static async start(parts: DaemonParts): Promise<Daemon> {
     const daemon = new Daemon(parts);
     daemon.core = await daemon.startCore();
+    daemon.organisations.join(daemon.membership);
     daemon.entry = daemon.makeEntry();
     daemon.spread = daemon.makeSpread();
     addGauges(daemon.metrics, daemon.reported);
     addQuarantineGauges(daemon.metrics, daemon.core.quarantine);
+    addOrganisationGauges(daemon.metrics, daemon.organisations);
     await daemon.serve();
     return daemon;
   }
@@ -134,6 +142,7 @@
     this.membership.leave();
     await this.broker.stop();
     await this.spread[Symbol.asyncDispose]();
+    await this.organisations[Symbol.asyncDispose]();
     await this.core[Symbol.asyncDispose]();
     await this.store?.[Symbol.asyncDispose]();
   }
@@ -150,7 +159,7 @@
         protection: settings.protection,
         heartbeatMs: HEARTBEAT_MS,
         slowStart: true,
-        classes: () => graph()?.file.classes.length ?? MOST_CLASSES,
+        classes: () => graph()?.classes ?? MOST_CLASSES,
         bounds: service => this.boundsOf(service),
         checkAddress: async address => {
           checkSameVm(address, settings.ip);
@@ -170,6 +179,8 @@
       service: '',
       atHome: (head, body, signal) => this.entry.handleAsHome(head, body, signal),
       configuration: question => this.configuration.answer(question),
+      freshness: this.organisations.freshness,
+      quotas: this.organisations.handlers,
       onConfiguration: (heard, peer) => this.spread.heard(heard, peer),
     });
   }
@@ -201,6 +212,30 @@
       claims: new Claims(clock, this.store),
       running: core.running,
       journal: core.journal,
+      senders: this.organisations.senders,
+      quotaGate: this.organisations.gate(core.journal),
+    });
+  }
+
+  private adopted(): void {
+    this.core.membership.setConfiguration(this.configuration);
+    this.organisations.adopted();
+  }
+
+  /** It knows the fleet some time after it has joined. */
+  private makeOrganisationSide(): OrganisationSide {
+    const { settings, clock, random } = this.parts;
+    const startedAt = clock.now();
+    return new OrganisationSide({
+      clock,
+      random,
+      configuration: this.configuration,
+      keyring: () => this.configuration.inForce?.keyring,
+      revocationMs: settings.revocationMs,
+      failureDomain: settings.failureDomain,
+      division: { failureDomains: settings.failureDomains, slack: settings.quotaSlack },
+      knowsFleet: () => clock.now() - startedAt > JOINED_AFTER_MS,
+      log: (message, facts) => this.configurationLog.info(facts, `Configuration: ${message}`),
     });
   }
 
@@ -211,6 +246,7 @@
       clock,
       random,
       configuration: this.configuration,
+      freshness: this.organisations.freshness,
       store: this.store && new ConfigurationStore(this.store, clock),
       isReader: () => readersOf(settings.failureDomain, core.membership.table.all()).includes(core.self),
       onReach: isReached => core.membership.setPlatformLost(!isReached),
@@ -230,6 +266,7 @@
         port: settings.callerPort,
         entry: this.entry,
         metrics: this.metrics,
+        needsKeys: () => this.organisations.needsKeys,
         leaving: () => this.leaving,
         turns: this.turns,
         track: work => this.track(work),
@@ -245,7 +282,7 @@
         quarantine: this.core.quarantine,
         faults: settings.faultHooks ? this.faults : undefined,
         isReady: () => this.configuration.generation > 0,
-        organisations: () => ({}),
+        organisations: () => this.organisations.counts.report,
         status: () => statusOf(this.reported),
         dump: () => dumpOf(this.reported),
         setDraining: draining => this.upstreams.setDraining(draining),
@@ -258,6 +295,7 @@
     this.membership.setOperatorAddress(addressOf(settings.ip, serverOf(operators)));
     this.membership.start();
     this.spread.start();
+    this.organisations.start();
   }
 
   private track<T>(work: Promise<T>): Promise<T> {
--- a/packages/daemon/src/fleetQuotas.ts
+++ b/packages/daemon/src/fleetQuotas.ts
@@ -1,15 +1,15 @@
 /** The quotas of a daemon among the members that it knows. */
 import { type Clock, ForwardTime, type Random } from '@cleatquay/clock';
 import { type Membership } from '@cleatquay/membership';
-import { Quotas } from '@cleatquay/organisations';
-import { type RelaySettings } from './relaySettings.js';
+import { type QuotaDivision, Quotas } from '@cleatquay/organisations';
 
 /** A daemon that was found gone may be cut off only, and go on with its share of quotas, for so long, ms. */
 const CUT_OFF_MS = 60_000;
 
 /** What the quotas of a daemon are made from. */
 export interface FleetQuotasParts {
-  readonly settings: RelaySettings;
+  readonly failureDomain: string;
+  readonly division: QuotaDivision;
   readonly clock: Clock;
   readonly random: Random;
   readonly membership: Membership;
@@ -18,15 +18,15 @@
 }
 
 /** Quotas that travel in datagrams of membership. */
-export function fleetQuotas({ settings, clock, random, membership, knowsFleet }: FleetQuotasParts): Quotas {
+export function fleetQuotas(parts: FleetQuotasParts): Quotas {
+  const { failureDomain, division, clock, random, membership, knowsFleet } = parts;
   const forward = new ForwardTime(clock);
-  const { failureDomain } = settings;
   return new Quotas({
     clock,
     random,
     now: () => forward.now(),
     epoch: () => membership.me.epoch,
-    division: settings.quotas,
+    division,
     self: membership.me.gossipAddress,
     failureDomain,
     members: () => [...membership.table.all()].filter(({ state }) => state === 'ALIVE'),
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -16,12 +16,10 @@
   type ConfigurationSource,
   ConfigurationSpread,
   ConfigurationWatch,
-  Freshness,
   type Sections,
 } from '@cleatquay/configuration';
 import { Failure } from '@cleatquay/errors';
 import { type KeptState, Meeting, type MeetingTable, type Membership } from '@cleatquay/membership';
-import { OrganisationCounts, type Quotas } from '@cleatquay/organisations';
 import { type Refusal, endOf, refusalOf } from '@cleatquay/protocol';
 import { type Quarantine, type QuarantineTable } from '@cleatquay/quarantine';
 import { HostRoutes, type RoutePlan } from '@cleatquay/routes';
@@ -31,16 +29,16 @@
 import { logAdoption, logDoubt, logPeerFailure } from './adoptionLog.js';
 import { Core } from './core.js';
 import { takeOver } from './formerUpstreams.js';
-import { fleetQuotas } from './fleetQuotas.js';
 import { HttpListeners, type Listener, addressOf, serverOf, startServers } from './httpListeners.js';
 import { Metrics } from './metrics.js';
 import { operatorGateway } from './operatorGateway.js';
-import { ProofRounds } from './proofRounds.js';
 import { quietBroker } from './quietBroker.js';
 import { type CallerDialect, RelayGateway } from './relayGateway.js';
 import { addQuarantineGauges } from './quarantineGauges.js';
 import { PressureLog } from './pressureLog.js';
 import { Readers } from './readers.js';
+import { addOrganisationGauges } from './organisationGauges.js';
+import { OrganisationSide } from './organisationSide.js';
 import { addRelayGauges } from './relayGauges.js';
 import { type RelayReportParts, relayDump, relayStatus } from './relayReport.js';
 import { type RelaySettings } from './relaySettings.js';
@@ -89,7 +87,7 @@
 export class RelayDaemon implements AsyncDisposable {
   readonly metrics = new Metrics();
   readonly configuration: Configuration<HostRoutes>;
-  readonly freshness: Freshness;
+  private readonly organisations: OrganisationSide;
   private readonly broker: ServiceBroker = quietBroker();
   private readonly configurationLog: Logger;
   private readonly gateway: RelayGateway;
@@ -103,10 +101,6 @@
   private meeting!: Meeting;
   private watch!: ConfigurationWatch;
   private spread!: ConfigurationSpread;
-  /** Undefined where keys need no proof. */
-  private proofs: ProofRounds | undefined;
-  quotas!: Quotas;
-  private readonly organisationCounts = new OrganisationCounts();
   private readonly listeners = new HttpListeners(this.broker);
   private inFlight = 0;
   /** Importance classes of the configuration in force. */
@@ -119,7 +113,7 @@
   private endsAt = Number.POSITIVE_INFINITY;
 
   private constructor(private readonly parts: RelayDaemonParts) {
-    const { clock, random, log, installation } = parts;
+    const { settings, clock, random, log, installation } = parts;
     this.configurationLog = log.child({ part: 'configuration' });
     this.learned = new LearnedCalls(clock);
     const processorLog = log.child({ part: 'processor' });
@@ -138,12 +132,22 @@
       sections => new HostRoutes(installation.plan(sections), random, this.configuration.inForce),
       adoption => this.adopted(adoption),
     );
-    this.freshness = new Freshness(clock, this.configuration);
+    this.organisations = new OrganisationSide({
+      clock,
+      random,
+      configuration: this.configuration,
+      keyring: () => this.configuration.inForce?.keyring,
+      revocationMs: settings.revocationMs,
+      failureDomain: settings.failureDomain,
+      division: settings.quotas,
+      knowsFleet: () => this.knowsFleet,
+      log: (message, facts) => this.configurationLog.info(facts, `Configuration: ${message}`),
+    });
     this.gateway = new RelayGateway({
       relay: { handle: (...call) => this.relay.handle(...call) },
       dialect: installation.callers,
       limits: () => this.configuration.inForce?.plan.limits,
-      needsKeys: () => this.needsKeys,
+      needsKeys: () => this.organisations.needsKeys,
       isLeaving: () => this.leavingSince !== undefined,
       turns: this.turns,
       started: () => this.started(),
@@ -154,19 +158,15 @@
   static async start(parts: RelayDaemonParts): Promise<RelayDaemon> {
     const daemon = new RelayDaemon(parts);
     daemon.core = await daemon.startCore();
+    daemon.organisations.join(daemon.membership);
     daemon.relay = daemon.makeRelay();
     daemon.readers = new Readers(parts.clock, daemon.membership, parts.settings.failureDomain);
-    daemon.proofs = daemon.makeProofs();
-    daemon.quotas = fleetQuotas({
-      ...parts,
-      membership: daemon.membership,
-      knowsFleet: () => daemon.knowsFleet,
-    });
     daemon.meeting = daemon.makeMeeting();
     daemon.watch = daemon.makeWatch();
     daemon.spread = daemon.makeSpread();
     addQuarantineGauges(daemon.metrics, daemon.core.quarantine);
     addRelayGauges(daemon.metrics, daemon);
+    addOrganisationGauges(daemon.metrics, daemon.organisations);
     await daemon.serve();
     return daemon;
   }
@@ -188,10 +188,6 @@
     return this.core.quarantine;
   }
 
-  private get needsKeys(): boolean {
-    return this.configuration.inForce?.keyring !== undefined;
-  }
-
   /** Where its listeners are, by name. */
   get addresses(): ReadonlyMap<string, string> {
     return this.listeners.addresses;
@@ -250,8 +246,7 @@
     this.listeners.closeConnections();
     await this.broker.stop();
     await this.watch[Symbol.asyncDispose]();
-    await this.proofs?.[Symbol.asyncDispose]();
-    this.quotas[Symbol.dispose]();
+    await this.organisations[Symbol.asyncDispose]();
     await this.meeting[Symbol.asyncDispose]();
     await this.spread[Symbol.asyncDispose]();
     await this.core[Symbol.asyncDispose]();
@@ -295,11 +290,8 @@
         return Promise.resolve(answerOf(endOf(refusal, 0)));
       },
       configuration: question => this.configuration.answer(question),
-      freshness: this.freshness,
-      quotas: {
-        heardQuestion: (question, from) => this.quotas.heardQuestion(question, from),
-        heardAnswer: (answer, from) => this.quotas.heardAnswer(answer, from),
-      },
+      freshness: this.organisations.freshness,
+      quotas: this.organisations.handlers,
       onConfiguration: (heard, peer) => this.spread.heard(heard, peer),
     });
   }
@@ -315,10 +307,8 @@
       originService: settings.service,
       running: this.core.running,
       learned: this.learned,
-      quotas: () => this.quotas,
-      organisationCounts: this.organisationCounts,
-      proofAgeMs: () => this.freshness.ageMs,
-      areKeysProven: () => this.proofs?.isProven ?? true,
+      senders: this.organisations.senders,
+      quotaGate: this.organisations.gate(this.core.journal),
       pressureLevel: () => this.pressure.level,
       timeLeftMs: () => this.endsAt - clock.now(),
       random,
@@ -369,38 +359,27 @@
       clock,
       configuration: this.configuration,
       source: installation.source,
-      freshness: this.freshness,
+      freshness: this.organisations.freshness,
       isOnDuty: () => this.readers.isOnDuty,
       waitMs: isFirst =>
-        Math.min(this.readers.waitMs(isFirst), this.proofs?.longestWaitMs ?? Number.POSITIVE_INFINITY),
-      paceMs: () => this.proofs?.paceMs,
+        Math.min(
+          this.readers.waitMs(isFirst),
+          this.organisations.proofs?.longestWaitMs ?? Number.POSITIVE_INFINITY,
+        ),
+      paceMs: () => this.organisations.proofs?.paceMs,
       pauseMs: () => this.readers.pauseMs,
       onReach: isReached => this.membership.setPlatformLost(!isReached),
       log: (message, facts) => this.configurationLog.info(facts, `Configuration: ${message}`),
     });
   }
 
-  private makeProofs(): ProofRounds | undefined {
-    const { clock, random, settings } = this.parts;
-    if (settings.revocationMs === undefined) return undefined;
-    return new ProofRounds({
-      clock,
-      random,
-      freshness: this.freshness,
-      readers: this.readers,
-      membership: this.membership,
-      boundMs: settings.revocationMs,
-      needsKeys: () => this.needsKeys,
-      log: (message, facts) => this.configurationLog.info(facts, `Configuration: ${message}`),
-    });
-  }
-
   private makeSpread(): ConfigurationSpread {
     const { clock, random } = this.parts;
     return new ConfigurationSpread({
       clock,
       random,
       configuration: this.configuration,
+      freshness: this.organisations.freshness,
       store: undefined,
       isReader: () => false,
       onReach: () => undefined,
@@ -431,7 +410,7 @@
         quarantine: this.core.quarantine,
         faults: undefined,
         isReady: () => this.isReady,
-        organisations: () => this.organisationCounts.report,
+        organisations: () => this.organisations.counts.report,
         status: () => relayStatus(this.reported),
         dump: () => relayDump(this.reported),
         setDraining: draining => this.upstreams.setDraining(draining),
@@ -441,7 +420,7 @@
     this.membership.setOperatorAddress(addressOf(settings.ip, serverOf(operators)));
     this.membership.start();
     this.watch.start();
-    this.proofs?.start();
+    this.organisations.start();
     this.meeting.start();
     void this.meeting.met.then(() => (this.knowsFleet = true));
     void Promise.race([this.meeting.met, clock.sleep(MEETING_PATIENCE_MS)]).then(() => (this.hasMet = true));
@@ -452,9 +431,7 @@
     this.classes = this.configuration.inForce?.classes ?? 1;
     this.core.membership.setConfiguration(this.configuration);
     this.gateway.applyConfiguration();
-    const organisations = this.configuration.inForce?.keyring?.organisations ?? [];
-    this.quotas.adopt(organisations);
-    this.organisationCounts.keepOnly(new Set(organisations.map(({ name }) => name)));
+    this.organisations.adopted();
   }
 
   private started(): (refusal: Refusal | undefined) => void {
@@ -474,6 +451,6 @@
     const { configuration, membership, upstreams } = this;
     const { router, running, tries, quarantine } = this.core;
     const parts = { configuration, membership, upstreams, router, running, tries, quarantine };
-    return { ...parts, inFlight: this.inFlight, freshness: this.freshness };
+    return { ...parts, inFlight: this.inFlight, freshness: this.organisations.freshness };
   }
 }
--- a/packages/daemon/src/relayGauges.ts
+++ b/packages/daemon/src/relayGauges.ts
@@ -1,29 +1,19 @@
 /** Gauges of a daemon for unchanged callers, read when the metrics are asked for; docs/operators/observe.md lists them. */
 import { type ProcessorPressure } from '@cleatquay/admission';
-import { type Configuration, type Freshness } from '@cleatquay/configuration';
-import { type Quotas } from '@cleatquay/organisations';
+import { type Configuration } from '@cleatquay/configuration';
 import { type Metrics } from './metrics.js';
 
 /** The parts that the gauges read. */
 export interface GaugedParts {
   readonly pressure: ProcessorPressure;
   readonly configuration: Configuration<unknown>;
-  readonly freshness: Freshness;
-  readonly quotas: Quotas;
 }
 
-/** Adds them. Their number doesn't depend on how many organisations there are. */
-export function addRelayGauges(
-  metrics: Metrics,
-  { pressure, configuration, freshness, quotas }: GaugedParts,
-): void {
+/** Adds them. */
+export function addRelayGauges(metrics: Metrics, { pressure, configuration }: GaugedParts): void {
   const gauge = (name: string, help: string, read: () => number) =>
     metrics.gauge(`cleatquay_${name}`, help, read);
   gauge('processor_lag_ms', 'How late the latest timer was', () => pressure.lagMs);
   gauge('configuration_generation', 'Generation in force', () => configuration.generation);
   gauge('configuration_content', 'First half of the digest in force', () => configuration.shortDigest);
-  gauge('configuration_proof_age_ms', 'How long ago it was known to be the newest', () => freshness.ageMs);
-  gauge('quota_taken', 'Requests that found room in their quotas', () => quotas.counts.taken);
-  gauge('quota_over', 'Requests beyond their quotas', () => quotas.counts.over);
-  gauge('quota_unknown', 'Requests whose quota nobody could be asked for', () => quotas.counts.unknown);
 }
--- a/packages/routes/src/ranks.ts
+++ b/packages/organisations/src/ranks.ts
@@ -2,23 +2,28 @@
  * The order of importance of requests: by the rank of their organisation, or where it has none, of their route; among equals by the rank of the
  * route. Where organisations have ranks, ranks that nothing has take no place, so that levels move through few classes.
  */
-import { type RoutePlan } from './routePlan.js';
-
 /** What a request's place depends on. */
 interface Pair {
   readonly first: number;
   readonly route: number;
 }
 
-/** The places of all pairs of ranks that a plan has. */
+/** The ranks that a configuration has. */
+export interface DeclaredRanks {
+  readonly routes: readonly number[];
+  /** Of the organisations that have one. */
+  readonly organisations: readonly number[];
+}
+
+/** The places of all pairs of ranks that a configuration has. */
 export class Ranks {
   private readonly places = new Map<string, number>();
   /** Number of places that requests may have; at least 1. */
   readonly count: number;
 
-  constructor({ routes, organisations }: RoutePlan) {
-    const routeRanks = distinct(routes.map(({ rank }) => rank));
-    const ownerRanks = distinct((organisations ?? []).flatMap(({ rank }) => rank ?? []));
+  constructor({ routes, organisations }: DeclaredRanks) {
+    const routeRanks = distinct(routes);
+    const ownerRanks = distinct(organisations);
     if (ownerRanks.length > 0) {
       for (const pair of pairsOf(routeRanks, ownerRanks)) this.places.set(keyOf(pair), this.places.size);
     }
--- a/packages/routes/src/hostRoutes.ts
+++ b/packages/routes/src/hostRoutes.ts
@@ -1,7 +1,6 @@
 /** Finds the route of a request by its host and the longest prefix of its path. */
 import { type Random } from '@cleatquay/clock';
-import { Keyring, type Organisation } from '@cleatquay/organisations';
-import { Ranks } from './ranks.js';
+import { Keyring, type Organisation, Ranks } from '@cleatquay/organisations';
 import { type HostRoute, type RoutePlan, type ServicePlan } from './routePlan.js';
 import { WeightedSplit } from './weightedSplit.js';
 
@@ -30,7 +29,10 @@
     }
     for (const service of plan.services) this.services.set(service.name, service);
     this.keyring = plan.organisations && new Keyring(plan.organisations);
-    this.ranks = new Ranks(plan);
+    this.ranks = new Ranks({
+      routes: plan.routes.map(({ rank }) => rank),
+      organisations: this.keyring?.ranks ?? [],
+    });
   }
 
   /** The route with the longest prefix that begins the path; `path` may carry a query. */
--- a/packages/settings/src/callGraph.ts
+++ b/packages/settings/src/callGraph.ts
@@ -1,5 +1,6 @@
 /** The declared call graph: finds the route of a request, and checks that the graph keeps its promises. */
 import { Failure } from '@cleatquay/errors';
+import { Keyring, type Organisation, Ranks } from '@cleatquay/organisations';
 import { match } from 'path-to-regexp';
 import { type OperatorFile, type RouteDeclaration } from './operatorFile.js';
 
@@ -31,6 +32,9 @@
 export class CallGraph {
   private readonly byName = new Map<RouteName, Route>();
   private readonly byService = new Map<string, Route[]>();
+  private readonly ranks: Ranks;
+  /** The keys that requests need; undefined where they need none. */
+  readonly keyring: Keyring | undefined;
 
   constructor(readonly file: OperatorFile) {
     for (const [service, declaration] of Object.entries(file.services)) {
@@ -40,6 +44,21 @@
       this.byService.set(service, routes);
       for (const route of routes) this.byName.set(route.name, route);
     }
+    this.keyring = file.organisations && new Keyring(organisationsOf(file.organisations));
+    this.ranks = new Ranks({
+      routes: file.classes.map((_, rank) => rank),
+      organisations: this.keyring?.ranks ?? [],
+    });
+  }
+
+  /** Number of ranks that requests may have. */
+  get classes(): number {
+    return this.ranks.count;
+  }
+
+  /** Rank of a request on the route; 0 is the most important. */
+  rankOf(route: Route, organisation: Organisation | undefined): number {
+    return this.ranks.of(route.rank, organisation?.rank);
   }
 
   /** The route of a request; `path` may carry a query. */
@@ -102,6 +121,15 @@
   }
 }
 
+function organisationsOf(declared: NonNullable<OperatorFile['organisations']>): Organisation[] {
+  return Object.entries(declared).map(([name, { keyDigests, rank, quota }]) => ({
+    name,
+    keyDigests,
+    rank,
+    quota,
+  }));
+}
+
 function graphFailure(
   result: 'callCycle' | 'idempotenceBroken',
   top: Route,
--- a/packages/settings/src/operatorFile.ts
+++ b/packages/settings/src/operatorFile.ts
@@ -12,6 +12,10 @@
     class: Type.String({ description: 'one of "classes"' }),
     idempotent: Type.Boolean(),
     timeoutMs: Type.Integer({ minimum: 1, maximum: 600_000 }),
+    public: Type.Boolean({
+      default: false,
+      description: 'whether callers need no key, where there are organisations',
+    }),
     calls: Type.Array(Type.String({ pattern: '^[^.]+\\.[^.]+$' }), {
       default: [],
       description: 'routes it may call, as service.route',
@@ -32,6 +36,30 @@
   { additionalProperties: false },
 );
 
+/** Goes into a header of requests to upstreams. */
+const ORGANISATION_NAME = /^[\x21-\x7e]{1,200}$/;
+
+const QuotaSchema = Type.Object(
+  {
+    perSecond: Type.Number({ exclusiveMinimum: 0, description: 'requests a second, in the whole fleet' }),
+    burst: Type.Number({ minimum: 0, default: 0, description: 'requests beyond that, at once' }),
+  },
+  { additionalProperties: false },
+);
+
+const OrganisationSchema = Type.Object(
+  {
+    keyDigests: Type.Array(Type.String({ pattern: '^[\\w-]{43}$' }), {
+      description: 'digests of its keys, as cleatquay new-key prints them',
+    }),
+    rank: Type.Optional(
+      Type.Integer({ minimum: 0, maximum: 15, description: 'goes before the class of routes; 0 first' }),
+    ),
+    quota: Type.Optional(QuotaSchema),
+  },
+  { additionalProperties: false },
+);
+
 /** JSON Schema of the operators' file. */
 export const OperatorFileSchema = Type.Object(
   {
@@ -44,6 +72,11 @@
       description: 'tries repeated per client request, in all',
     }),
     requestIdLifetimeMs: Type.Integer({ minimum: 10_000, default: 600_000 }),
+    organisations: Type.Optional(
+      Type.Record(Type.String({ pattern: '^[\\x21-\\x7e]{1,200}$' }), OrganisationSchema, {
+        description: 'who may send requests; left out where requests need no key',
+      }),
+    ),
     services: Type.Record(Type.String({ pattern: '^[A-Za-z][\\w-]*$' }), ServiceSchema),
   },
   { additionalProperties: false, $id: 'https://cleatquay.example/schemas/operator-file.json' },
@@ -63,10 +96,33 @@
     for (const [name, route] of Object.entries(routes))
       checkClass(file, `services.${service}.routes.${name}`, route);
   }
+  checkOrganisations(file);
   new CallGraph(file).check();
   return file;
 }
 
+function checkOrganisations({ organisations = {} }: OperatorFile): void {
+  const unnamed = Object.keys(organisations).find(name => !ORGANISATION_NAME.test(name));
+  if (unnamed !== undefined) {
+    const message = `Expected 1 to 200 letters, digits or signs, found "${unnamed.slice(0, 80)}".`;
+    throw new Failure(message, { result: 'configurationInvalid', field: 'organisations' });
+  }
+  const holders = new Map<string, string>();
+  for (const [name, { keyDigests }] of Object.entries(organisations)) {
+    for (const digest of new Set(keyDigests)) {
+      const other = holders.get(digest);
+      if (other !== undefined) {
+        const field = `organisations.${name}.keyDigests`;
+        throw new Failure(`Expected keys of its own, found one of "${other}".`, {
+          result: 'configurationInvalid',
+          field,
+        });
+      }
+      holders.set(digest, name);
+    }
+  }
+}
+
 function checkClass(file: OperatorFile, field: string, route: RouteDeclaration): void {
   if (file.classes.includes(route.class)) return;
   const message = `Expected one of ${file.classes.join(', ')}, found "${route.class}".`;
--- a/packages/settings/src/processSettings.ts
+++ b/packages/settings/src/processSettings.ts
@@ -28,6 +28,22 @@
       default: 30_000,
       description: 'longest wait for requests in flight',
     }),
+    revocationMs: Type.Optional(
+      Type.Integer({
+        minimum: 4000,
+        description: 'how long a key that was taken away may be honoured by any daemon, cut off or not',
+      }),
+    ),
+    failureDomains: Type.Integer({
+      minimum: 1,
+      default: 1,
+      description: 'number of failure domains, which share quotas',
+    }),
+    quotaSlack: Type.Integer({
+      minimum: 0,
+      default: 0,
+      description: 'requests of an organisation that may run beyond its quota in one moment',
+    }),
     protection: Type.Boolean({
       default: true,
       description: 'false: the plain path, the baseline of experiments',
--- a/tests/configurationSpread.spec.ts
+++ b/tests/configurationSpread.spec.ts
@@ -1,5 +1,5 @@
 import { ManualClock } from '@cleatquay/clock';
-import { Configuration, ConfigurationSpread, type Sections } from '@cleatquay/configuration';
+import { Configuration, ConfigurationSpread, Freshness, type Sections } from '@cleatquay/configuration';
 import { type ConfigurationAnswer, type ConfigurationRequest } from '@cleatquay/protocol';
 import { expect } from 'chai';
 
@@ -44,6 +44,7 @@
       random: () => 0.5,
       configuration,
       store: undefined,
+      freshness: new Freshness(clock, configuration),
       isReader: () => false,
       onReach: () => undefined,
       fetch: (peer, question) => {
--- /dev/null
+++ b/tests/organisationFile.spec.ts
@@ -0,0 +1,112 @@
+import { type Fleet } from '@cleatquay/bench';
+import { joinSections, splitSections } from '@cleatquay/configuration';
+import { ownDialect } from '@cleatquay/calls';
+import { digestOfKey } from '@cleatquay/organisations';
+import { CallGraph, type OperatorFile, checkOperatorFile } from '@cleatquay/settings';
+import { expect } from 'chai';
+import { readFileSync } from 'node:fs';
+import { CALL_CONTEXT } from './fixtures/callContext.js';
+import { smallFleet } from './fixtures/smallFleet.js';
+
+const DAIRY_KEY = 'dairy-key';
+const PATH = '/alarms/alarms/7';
+
+const organisations = {
+  dairy: { keyDigests: [digestOfKey(DAIRY_KEY)], rank: 0, quota: { perSecond: 20, burst: 10 } },
+  pharmacy: { keyDigests: [digestOfKey('pharmacy-key')] },
+};
+
+function fileWith(change: object): unknown {
+  const file = JSON.parse(readFileSync('deployments/frostline.json', 'utf8')) as object;
+  return { ...file, ...change };
+}
+
+describe("organisations in the operators' file", () => {
+  it('travel in sections of their own, and come together again', () => {
+    const file = checkOperatorFile(fileWith({ organisations }));
+    const sections = splitSections(file);
+    expect([...sections.keys()]).to.include.members(['organisation:dairy', 'organisation:pharmacy']);
+    expect(joinSections(sections)).to.deep.equal(file);
+  });
+
+  it('may be none, which is told apart from no list', () => {
+    const none = joinSections(splitSections(checkOperatorFile(fileWith({ organisations: {} }))));
+    expect(new CallGraph(none).keyring?.organisations).to.deep.equal([]);
+    const noList = joinSections(splitSections(checkOperatorFile(fileWith({}))));
+    expect(new CallGraph(noList).keyring).to.equal(undefined);
+  });
+
+  it('go before the class of the route by their rank', () => {
+    const graph = new CallGraph(checkOperatorFile(fileWith({ organisations })));
+    const confirm = graph.get('receiving.confirm')!;
+    const read = graph.get('history.read')!;
+    const { dairy, pharmacy } = Object.fromEntries(
+      graph.keyring!.organisations.map(organisation => [organisation.name, organisation]),
+    );
+    expect(graph.rankOf(read, dairy)).to.be.below(graph.rankOf(read, pharmacy));
+    expect(graph.rankOf(confirm, dairy)).to.be.below(graph.rankOf(read, dairy));
+    expect(graph.rankOf(read, pharmacy)).to.be.below(graph.classes);
+  });
+
+  const refused: Record<string, object> = {
+    'a key in place of its digest': { dairy: { keyDigests: ['plain-key'] } },
+    'two that share a key': { ...organisations, other: organisations.dairy },
+    'a quota of nothing': { dairy: { keyDigests: [], quota: { perSecond: 0 } } },
+    'a negative burst': { dairy: { keyDigests: [], quota: { perSecond: 1, burst: -1 } } },
+    'a name with a space': { 'two words': { keyDigests: [] } },
+  };
+  for (const [what, declared] of Object.entries(refused)) {
+    it(`are refused for ${what}`, () => {
+      expect(() => checkOperatorFile(fileWith({ organisations: declared })))
+        .to.throw()
+        .with.property('result', 'configurationInvalid');
+    });
+  }
+
+  it('are named to upstreams, and only where there is one', () => {
+    const headers = (organisation: string) =>
+      ownDialect.requestHeaders({ ...CALL_CONTEXT, organisation }, '');
+    expect(headers('dairy')).to.include.members(['cleatquay-organisation', 'dairy']);
+    expect(headers('')).to.not.include('cleatquay-organisation');
+  });
+
+  describe('on daemons', () => {
+    let fleet: Fleet;
+
+    before(async () => {
+      const change = (file: OperatorFile) => void Object.assign(file, { organisations });
+      fleet = await smallFleet(
+        [
+          ['alarms', 'regina-a'],
+          ['alarms', 'moose-b'],
+        ],
+        change,
+      );
+    });
+
+    after(() => fleet[Symbol.asyncDispose]());
+
+    const ask = async (node: number, key?: string) => {
+      const headers: Record<string, string> = key === undefined ? {} : { authorization: `Bearer ${key}` };
+      const answer = await fetch(`${fleet.callerUrls[node]!}${PATH}`, { headers });
+      await answer.arrayBuffer();
+      return answer.status;
+    };
+
+    it('let in whoever bears a key, and nobody else', async () => {
+      expect(await ask(0, 'pharmacy-key')).to.equal(200);
+      expect(await ask(1, 'pharmacy-key')).to.equal(200);
+      expect(await ask(0)).to.equal(401);
+      expect(await ask(1, 'nobody')).to.equal(401);
+    });
+
+    it('are bound by their quotas over the fleet', async () => {
+      const until = performance.now() + 10_000;
+      while ((await ask(0, DAIRY_KEY)) !== 200) expect(performance.now()).to.be.below(until);
+      const statuses = await Promise.all(Array.from({ length: 150 }, (_, i) => ask(i % 2, DAIRY_KEY)));
+      expect(statuses).to.include(429);
+      expect(statuses.filter(status => status === 200).length).to.be.within(1, 80);
+      expect(await ask(0, 'pharmacy-key')).to.equal(200);
+    });
+  });
+});
--- a/tests/relay.spec.ts
+++ b/tests/relay.spec.ts
@@ -2,9 +2,11 @@
   type CallRoute,
   LearnedCalls,
   Journal,
+  QuotaGate,
   Relay,
   type RelayedRequest,
   RunningCalls,
+  Senders,
   answerOf,
 } from '@cleatquay/calls';
 import { CALLER_LEFT, type CancelSignal, Cancellation, ManualClock, NEVER_CANCELLED } from '@cleatquay/clock';
@@ -68,12 +70,16 @@
       journal: new Journal(clock),
       forwarder: { forward },
       originService: 'history',
-      quotas: () => {
-        throw new Error('Nobody has a quota here.');
-      },
-      organisationCounts: new OrganisationCounts(),
-      proofAgeMs: () => 0,
-      areKeysProven: () => true,
+      senders: new Senders({ random: () => 0.5, areKeysProven: () => true }),
+      quotaGate: new QuotaGate({
+        clock,
+        journal: new Journal(clock),
+        quotas: () => {
+          throw new Error('Nobody has a quota here.');
+        },
+        counts: new OrganisationCounts(),
+        proofAgeMs: () => 0,
+      }),
       pressureLevel: () => Number.POSITIVE_INFINITY,
       timeLeftMs: () => timeLeftMs,
       random: () => 0.5,
--- a/tests/retryBudget.spec.ts
+++ b/tests/retryBudget.spec.ts
@@ -122,6 +122,7 @@
   idempotent: true,
   timeoutMs: 1000,
   calls: [],
+  public: false,
   rank: 0,
   matches: () => true,
 };
