Ask each other failure domain for a part of what a pot lacks

Cause: a pot that ran low asked all other failure domains for all that it lacked; what they handed over beyond what it holds was lost.

Change: each is asked for an equal part.

--- a/packages/organisations/src/quotas.ts
+++ b/packages/organisations/src/quotas.ts
@@ -307,11 +307,10 @@
     if (lack <= 0) return;
     this.transferAt.set(organisation, now + TRANSFER_EVERY_MS);
     const shard = shardOf(organisation);
-    for (const to of this.holders.far(shard))
-      this.send(
-        { to, at: now, shard, requests: new Map([[organisation, lack]]), isTransfer: true },
-        undefined,
-      );
+    const others = this.holders.far(shard);
+    // From each a part: what all together hand over beyond what the pot holds would be lost.
+    const requests = new Map([[organisation, lack / others.length]]);
+    for (const to of others) this.send({ to, at: now, shard, requests, isTransfer: true }, undefined);
   }
 
   private shardAt(index: number): Shard {
