Take nobody for lost after one datagram, and say that a quota is used up only where that can be told

Cause, from reading: a question that got no answer in 0.25 s made its daemon pass over the one that gives out for two seconds, though one datagram had been lost; the one that was asked instead had few shares, and refused requests as over a quota that had room. One failure domain that had nothing to spare kept the others from being asked for 0.4 s. Each daemon's timer went off each 50 ms, also when nothing waited.

Change: a daemon is passed over when it has answered nothing since a question 0.35 s ago; one with less than a quarter of the shares says that it can't tell, and requests wait and ask again; other failure domains are asked each 0.1 s; an idle daemon wakes up only to lend its share again. What a peer hands over that is no number is ignored.

--- a/packages/organisations/src/holders.ts
+++ b/packages/organisations/src/holders.ts
@@ -25,6 +25,7 @@
 export class Holders {
   private readonly known = new Map<number, { readonly address: string; readonly at: number }>();
   private readonly lostUntil = new Map<string, number>();
+  private readonly heardAt = new Map<string, number>();
 
   constructor(private readonly options: HoldersOptions) {}
 
@@ -53,14 +54,16 @@
     return [...members()].some(m => m.gossipAddress === daemon && m.failureDomain === failureDomain);
   }
 
-  /** It gave no answer. */
-  lost(daemon: string, now: number): void {
+  /** It gave no answer to a question of then. It is lost if it has answered none since: a single datagram may get lost. */
+  silent(daemon: string, askedAt: number, now: number): void {
+    if ((this.heardAt.get(daemon) ?? Number.NEGATIVE_INFINITY) >= askedAt) return;
     this.lostUntil.set(daemon, now + LOST_FOR_MS);
     this.known.clear();
   }
 
   /** It gave one. */
-  heard(daemon: string): void {
+  heard(daemon: string, now: number): void {
+    this.heardAt.set(daemon, now);
     this.lostUntil.delete(daemon);
   }
 
--- a/packages/organisations/src/quotaHolder.ts
+++ b/packages/organisations/src/quotaHolder.ts
@@ -7,10 +7,13 @@
   type ShareLoan,
 } from '@cleatquay/protocol';
 import { type Quota } from './organisation.js';
-import { type Grant, type QuotaDivision, QuotaPots } from './quotaPots.js';
+import { type QuotaDivision, QuotaPots } from './quotaPots.js';
 import { LOAN_MS } from './shareLoans.js';
 import { SHARDS, shardOf } from './shards.js';
 
+/** With less of a failure domain's shares, as in the first moments in which others take it for the one that gives out, it can't say that a quota is used up. */
+const TELLING_SHARE = 1 / 4;
+
 /** What the holder needs of its daemon. */
 export interface QuotaHolderOptions {
   /** Goes on while the VM is suspended, and never back, ms. */
@@ -54,9 +57,9 @@
     this.shards[shard]?.loans.take(lender, share, until, this.options.now());
   }
 
-  /** Asks on behalf of this daemon itself. */
-  grant(organisation: string, quota: Quota, requests: number): Grant {
-    return this.potsOf(organisation).grant(organisation, quota, requests, this.options.now());
+  /** This daemon itself asks. */
+  ask(organisation: string, requests: number): QuotaGrant {
+    return this.grantOf({ organisation, requests }, false);
   }
 
   /** What the organisation's pot is short of, so that other failure domains should be asked; 0 if nothing. */
@@ -85,7 +88,9 @@
       const handed = this.potsOf(organisation).handOver(organisation, quota, requests, this.options.now());
       return { ...nothing, requests: handed };
     }
-    const grant = this.grant(organisation, quota, requests);
+    const grant = this.potsOf(organisation).grant(organisation, quota, requests, this.options.now());
+    if (grant.requests < requests && this.shareOf(shardOf(organisation)) < TELLING_SHARE)
+      return { ...nothing, requests: grant.requests, unknown: true };
     const { delayMs, retryAfterMs } = grant;
     return {
       ...nothing,
--- a/packages/organisations/src/quotaPots.ts
+++ b/packages/organisations/src/quotaPots.ts
@@ -80,6 +80,7 @@
 
   /** Takes what another failure domain handed over; what the pot can't hold is lost. */
   receive(organisation: string, quota: Quota, handed: number, now: number): void {
+    if (!(handed > 0)) return;
     const pot = this.filled(organisation, quota, now);
     pot.level = Math.min(this.depth(quota, now), pot.level + handed);
   }
--- a/packages/organisations/src/quotas.ts
+++ b/packages/organisations/src/quotas.ts
@@ -19,16 +19,15 @@
 /** An answer that comes later is not taken: what it grants would run in another window than it was counted in, ms. */
 const LATEST_ANSWER_MS = 200;
 /** A daemon that answered nothing for so long is taken for lost, ms. */
-const SILENT_AFTER_MS = 250;
+const SILENT_AFTER_MS = 350;
 /** A request waits so long for room at most, ms: until the next daemon that gives out has the others' shares. */
 const PATIENCE_MS = 1100;
 /** What a request leaves that ran nowhere is for the next one, if there is one so soon, ms. */
 const RETURN_MS = 150;
 /** An organisation that has no room is not asked for again at once, ms. */
 const OVER_FOR_MS = 50;
-/** Another failure domain is asked for room so often, ms; one that had none to spare, less often. */
+/** Other failure domains are asked for room so often, ms. */
 const TRANSFER_EVERY_MS = 100;
-const TRANSFER_AGAIN_MS = 400;
 const HIGHEST_FIRST_NUMBER = 2 ** 31;
 
 /** What the quotas need of their daemon. */
@@ -73,6 +72,7 @@
   private number: number;
   private isFlushing = false;
   private timer: Timer | undefined;
+  private isTickingSlowly = false;
   private isClosed = false;
 
   constructor(private readonly options: QuotasOptions) {
@@ -109,12 +109,15 @@
     if (over && now < over.until)
       return this.counted({ kind: 'over', retryAfterMs: this.spread(over.retryAt - now) });
     const shard = shardOf(organisation);
-    if (this.holders.near(shard, now) === this.options.self) {
-      this.lendToSelf(shard, now);
-      if (this.holder.shareOf(shard) > 0) return this.takeHere(organisation, quota, now);
-    }
+    const isHere = this.holders.near(shard, now) === this.options.self;
+    return (
+      (isHere ? this.takeHere(organisation, quota, now) : undefined) ?? this.wait(shard, organisation, now)
+    );
+  }
+
+  private wait(shard: number, organisation: string, now: number): Promise<Taken> {
     this.flushSoon();
-    this.keepTicking();
+    this.tickSoon();
     return this.shardAt(shard)
       .queue.enter(organisation, now)
       .then(taken => this.counted(taken));
@@ -147,11 +150,11 @@
     const asked = this.asked.get(answer.number);
     this.asked.delete(answer.number);
     if (asked?.to !== from || now - asked.at > LATEST_ANSWER_MS) return;
-    this.holders.heard(from);
+    this.holders.heard(from, now);
     for (const grant of answer.grants) {
       const requests = asked.requests.get(grant.organisation);
       if (requests === undefined) continue;
-      if (asked.isTransfer) this.receive(grant, requests, now);
+      if (asked.isTransfer) this.holder.receive(grant.organisation, Math.min(grant.requests, requests));
       else this.settle(asked.shard, grant, requests, now);
     }
     if (!asked.isTransfer && answer.offer) this.shards[asked.shard]?.lender.offered(from, answer.offer, now);
@@ -183,9 +186,12 @@
     return isThere;
   }
 
-  private takeHere(organisation: string, quota: Quota, now: number): Taken | Promise<Taken> {
-    const { requests, delayMs, retryAfterMs } = this.holder.grant(organisation, quota, 1);
+  /** Undefined where this daemon can't say yet. */
+  private takeHere(organisation: string, quota: Quota, now: number): Taken | Promise<Taken> | undefined {
+    this.lendToSelf(shardOf(organisation), now);
+    const { requests, delayMs, retryAfterMs, unknown } = this.holder.ask(organisation, 1);
     this.balance(organisation, quota, now);
+    if (requests === 0 && unknown) return undefined;
     if (requests === 0) return this.counted({ kind: 'over', retryAfterMs: this.spread(retryAfterMs) });
     const taken = this.counted({ kind: 'taken', at: now + delayMs });
     return delayMs > 0 ? this.options.clock.sleep(delayMs).then(() => taken) : taken;
@@ -193,10 +199,9 @@
 
   private settle(shard: number, grant: QuotaGrant, asked: number, now: number): void {
     const { organisation, unknown, delayMs, retryAfterMs } = grant;
-    if (unknown) return;
     const granted = Math.min(asked, Math.floor(grant.requests));
     this.letGo(shard, organisation, granted, Math.min(delayMs, LATEST_ANSWER_MS));
-    if (granted >= asked) return;
+    if (granted >= asked || unknown) return;
     const refused = this.shards[shard]?.queue.leave(organisation, asked - granted) ?? [];
     for (const refuse of refused) refuse({ kind: 'over', retryAfterMs: this.spread(retryAfterMs) });
     this.overUntil.set(organisation, {
@@ -216,11 +221,6 @@
     for (let i = leaving.length; i < granted; i++) this.giveBack(organisation, at);
   }
 
-  private receive({ organisation, requests }: QuotaGrant, asked: number, now: number): void {
-    if (requests > 0) this.holder.receive(organisation, Math.min(requests, asked));
-    else this.transferAt.set(organisation, now + TRANSFER_AGAIN_MS);
-  }
-
   /** Several requests of one turn are asked for in one question. */
   private flushSoon(): void {
     if (this.isFlushing) return;
@@ -232,9 +232,19 @@
     });
   }
 
+  /** An idle daemon wakes up only to lend its share again. */
   private keepTicking(): void {
     if (this.isClosed) return;
-    this.timer ??= this.options.clock.after(ASK_AGAIN_MS, () => this.tick());
+    const isIdle = this.shards.every(({ queue }) => queue.isEmpty);
+    this.timer ??= this.options.clock.after(isIdle ? RENEW_MS : ASK_AGAIN_MS, () => this.tick());
+    this.isTickingSlowly = isIdle;
+  }
+
+  private tickSoon(): void {
+    if (this.timer && !this.isTickingSlowly) return;
+    this.timer?.[Symbol.dispose]();
+    this.timer = this.options.clock.after(ASK_AGAIN_MS, () => this.tick());
+    this.isTickingSlowly = false;
   }
 
   private tick(): void {
@@ -253,7 +263,7 @@
     for (const [number, { to, at, isTransfer }] of this.asked) {
       if (now - at < SILENT_AFTER_MS) continue;
       this.asked.delete(number);
-      if (!isTransfer) this.holders.lost(to, now);
+      if (!isTransfer) this.holders.silent(to, at, now);
     }
     for (const [name, { until }] of this.overUntil) if (until <= now) this.overUntil.delete(name);
   }
@@ -275,14 +285,8 @@
     const shard = this.shardAt(index);
     shard.lastAsked = now;
     this.lendToSelf(index, now);
-    if (this.holder.shareOf(index) === 0) return;
-    for (const [organisation, count] of shard.queue.toAsk(now, now)) {
-      const quota = this.quotas.get(organisation);
-      const grant = quota
-        ? this.holder.grant(organisation, quota, count)
-        : { requests: count, delayMs: 0, retryAfterMs: 0 };
-      this.settle(index, { organisation, ...grant, unknown: false }, count, now);
-    }
+    for (const [organisation, count] of shard.queue.toAsk(now, now))
+      this.settle(index, this.holder.ask(organisation, count), count, now);
   }
 
   private lendToSelf(index: number, now: number): void {
