--- a/packages/calls/src/index.ts
+++ b/packages/calls/src/index.ts
@@ -36,7 +36,8 @@
 export { type Repeat, RetryAllowance, type RetryBudget } from './retryAllowance.js';
 export { RunningCall, RunningCalls, type RunningRequest } from './runningCalls.js';
 export { TryMemory } from './tryMemory.js';
-export { GRACE_MS, type LocalUpstream, UpstreamSide, type UpstreamSideOptions } from './upstreamSide.js';
+export { type LocalUpstream } from './localUpstream.js';
+export { GRACE_MS, UpstreamSide, type UpstreamSideOptions } from './upstreamSide.js';
 export {
   MisplacedAnswer,
   type UpstreamAnswer,
--- /dev/null
+++ b/packages/calls/src/localUpstream.ts
@@ -0,0 +1,21 @@
+/** The upstream beside a daemon, as calls see it. */
+import { type Admission, type RouteCosts } from '@cleatquay/admission';
+import { type UpstreamConnections } from './upstreamConnections.js';
+
+/** An announced upstream as calls see it. */
+export interface LocalUpstream {
+  readonly admission: Admission;
+  readonly costs: RouteCosts;
+  readonly connections: UpstreamConnections;
+  readonly isDraining: boolean;
+  /** Names the upstream; empty if it doesn't tell. */
+  readonly instanceId: string;
+  /** Names this start of it, in the whole fleet. */
+  readonly start: string;
+  /** ip:port */
+  readonly address: string;
+  /** It takes no connections: it is out until it announces itself again. */
+  readonly refusedConnection: () => void;
+  /** Another instance answers at its address: it is gone. */
+  readonly anotherAnswers: () => void;
+}
--- a/packages/calls/src/upstreamEnds.ts
+++ b/packages/calls/src/upstreamEnds.ts
@@ -7,7 +7,7 @@
 import { splitAddress } from '@cleatquay/settings';
 import { connect } from 'node:net';
 import { type RunningCalls, type RunningRequest } from './runningCalls.js';
-import { type LocalUpstream } from './upstreamSide.js';
+import { type LocalUpstream } from './localUpstream.js';
 
 /** An upstream on the same VM that takes longer to let a connection in hasn't ended, as far as is known, ms. */
 const LOOK_TIMEOUT_MS = 100;
--- a/packages/calls/src/upstreamSide.ts
+++ b/packages/calls/src/upstreamSide.ts
@@ -1,5 +1,5 @@
 /** The daemon beside an upstream: admits, dispatches, and remembers what was dispatched. */
-import { type Admission, type Permit, type RouteCosts, levelOf } from '@cleatquay/admission';
+import { type Permit, levelOf } from '@cleatquay/admission';
 import {
   CALLER_LEFT,
   type CancelSignal,
@@ -28,9 +28,10 @@
 import { headerList, passedHeaders } from './headers.js';
 import { heldBack } from './heldBack.js';
 import { type Journal } from './journal.js';
+import { type LocalUpstream } from './localUpstream.js';
 import { RunningCall, type RunningCalls } from './runningCalls.js';
 import { type TryMemory } from './tryMemory.js';
-import { MisplacedAnswer, type UpstreamAnswer, type UpstreamConnections } from './upstreamConnections.js';
+import { MisplacedAnswer, type UpstreamAnswer } from './upstreamConnections.js';
 import { type UpstreamEnd, type UpstreamEnds, fingerprintAt } from './upstreamEnds.js';
 import { type UpstreamDialect } from './upstreamDialect.js';
 
@@ -40,24 +41,6 @@
 const SHED = [429, 503];
 const NEVER_SENT = ['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'];
 
-/** An announced upstream as calls see it. */
-export interface LocalUpstream {
-  readonly admission: Admission;
-  readonly costs: RouteCosts;
-  readonly connections: UpstreamConnections;
-  readonly isDraining: boolean;
-  /** Names the upstream; empty if it doesn't tell. */
-  readonly instanceId: string;
-  /** Names this start of it, in the whole fleet. */
-  readonly start: string;
-  /** ip:port */
-  readonly address: string;
-  /** It takes no connections: it is out until it announces itself again. */
-  readonly refusedConnection: () => void;
-  /** Another instance answers at its address: it is gone. */
-  readonly anotherAnswers: () => void;
-}
-
 /** One call as it came. */
 interface Called {
   readonly head: RequestHead;
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -10,8 +10,7 @@
   type RouteDeclaration,
   type ServiceDeclaration,
   OperatorFileSchema,
-  checkOperatorFile,
-  readOperatorFile,
 } from './operatorFile.js';
+export { checkOperatorFile, readOperatorFile } from './checkOperatorFile.js';
 export { CallGraph, type Route, type RouteName } from './callGraph.js';
 export { check, parseJson } from './check.js';
--- a/packages/settings/src/operatorFile.ts
+++ b/packages/settings/src/operatorFile.ts
@@ -1,9 +1,5 @@
 /** The operators' file: services, routes, importance, idempotence, who calls whom, limits. */
-import { Failure } from '@cleatquay/errors';
 import { type Static, Type } from '@sinclair/typebox';
-import { readFileSync } from 'node:fs';
-import { CallGraph } from './callGraph.js';
-import { check, parseJson } from './check.js';
 
 const RouteSchema = Type.Object(
   {
@@ -36,9 +32,6 @@
   { additionalProperties: false },
 );
 
-/** Goes into a header of requests to upstreams. */
-const ORGANISATION_NAME = /^[\x21-\x7e]{1,200}$/;
-
 const QuotaSchema = Type.Object(
   {
     perSecond: Type.Number({ exclusiveMinimum: 0, description: 'requests a second, in the whole fleet' }),
@@ -88,54 +81,3 @@
 export type ServiceDeclaration = Static<typeof ServiceSchema>;
 /** One route of a service. */
 export type RouteDeclaration = Static<typeof RouteSchema>;
-
-/** Checks form and meaning: classes and calls that exist, no cycle, idempotence kept all the way down. */
-export function checkOperatorFile(data: unknown): OperatorFile {
-  const file = check(OperatorFileSchema, data, 'configurationInvalid');
-  for (const [service, { routes }] of Object.entries(file.services)) {
-    for (const [name, route] of Object.entries(routes))
-      checkClass(file, `services.${service}.routes.${name}`, route);
-  }
-  checkOrganisations(file);
-  new CallGraph(file).check();
-  return file;
-}
-
-function checkOrganisations({ organisations = {} }: OperatorFile): void {
-  const unnamed = Object.keys(organisations).find(name => !ORGANISATION_NAME.test(name));
-  if (unnamed !== undefined) {
-    const message = `Expected 1 to 200 letters, digits or signs, found "${unnamed.slice(0, 80)}".`;
-    throw new Failure(message, { result: 'configurationInvalid', field: 'organisations' });
-  }
-  const holders = new Map<string, string>();
-  for (const [name, { keyDigests }] of Object.entries(organisations)) {
-    for (const digest of new Set(keyDigests)) {
-      const other = holders.get(digest);
-      if (other !== undefined) {
-        const field = `organisations.${name}.keyDigests`;
-        throw new Failure(`Expected keys of its own, found one of "${other}".`, {
-          result: 'configurationInvalid',
-          field,
-        });
-      }
-      holders.set(digest, name);
-    }
-  }
-}
-
-function checkClass(file: OperatorFile, field: string, route: RouteDeclaration): void {
-  if (file.classes.includes(route.class)) return;
-  const message = `Expected one of ${file.classes.join(', ')}, found "${route.class}".`;
-  throw new Failure(message, { result: 'configurationInvalid', field: `${field}.class` });
-}
-
-/** Reads and checks a file from disk. */
-export function readOperatorFile(path: string): OperatorFile {
-  let text: string;
-  try {
-    text = readFileSync(path, 'utf8');
-  } catch (error) {
-    throw new Failure(`Can't read ${path}.`, { result: 'settingsUnreadable', cause: error });
-  }
-  return checkOperatorFile(parseJson(text, 'configurationInvalid'));
-}
