--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -294,8 +294,8 @@
   }
 
   /**
-   * News goes to a few members at once, so that it is everywhere long before probes would carry it. One round of
-   * three misses about one member in seventeen; a second one, a little later, leaves hardly any to the probes.
+   * News goes to a few members at once, so that it is everywhere long before probes would carry it. One round misses some; a second one, a little
+   * later, leaves hardly any to the probes.
    */
   private scheduleEager(): void {
     if (this.eager || this.stopped.signal.aborted) return;
