Read what upstreams say of themselves in their answers, log it and count it

Change: the dialects read both headers (of the platform, and new ones of our own interface); a daemon logs what the upstream beside it says when that changes, at most a line a second (what is no number: CQ1017), and has three gauges: the rate named, answers, and answers that named one. The platform's stand-in upstream can say both. No decision is changed.

--- a/packages/calls/src/headers.ts
+++ b/packages/calls/src/headers.ts
@@ -14,6 +14,10 @@
   retryAfterMs: 'cleatquay-retry-after-ms',
   /** From an upstream, on 503: it ran nothing. */
   notRun: 'cleatquay-not-run',
+  /** From an upstream: requests a second that it takes from all daemons together, a decimal number. */
+  rateLimit: 'cleatquay-rate-limit',
+  /** From an upstream, "1": it takes no new work any more. */
+  leaving: 'cleatquay-leaving',
   idempotencyKey: 'idempotency-key',
   /** On requests to upstreams: the organisation whose key the request bore. */
   organisation: 'cleatquay-organisation',
--- a/packages/calls/src/index.ts
+++ b/packages/calls/src/index.ts
@@ -1,4 +1,5 @@
 /** One client request through the daemons: deadlines, retries, at most once, and what its caller is told. */
+export { type AnswerNotice, NOTHING_SAID, answerNotice, isRate } from './answerNotice.js';
 export { BodyCheck, replay } from './answers.js';
 export {
   type CallAnswer,
--- a/packages/calls/src/localUpstream.ts
+++ b/packages/calls/src/localUpstream.ts
@@ -1,5 +1,6 @@
 /** The upstream beside a daemon, as calls see it. */
 import { type Admission, type RouteCosts } from '@cleatquay/admission';
+import { type AnswerNotice } from './answerNotice.js';
 import { type UpstreamConnections } from './upstreamConnections.js';
 
 /** An announced upstream as calls see it. */
@@ -18,4 +19,6 @@
   readonly refusedConnection: () => void;
   /** Another instance answers at its address: it is gone. */
   readonly anotherAnswers: () => void;
+  /** What an answer of it says of it. */
+  readonly heard: (notice: AnswerNotice) => void;
 }
--- a/packages/calls/src/upstreamConnections.ts
+++ b/packages/calls/src/upstreamConnections.ts
@@ -30,6 +30,8 @@
   readonly idempotent: boolean;
   /** Says whether the headers are those of an answer to this request; if not, its connection is closed. */
   readonly isOwnAnswer: (status: number, headers: IncomingHttpHeaders) => boolean;
+  /** Told of such an answer as soon as its headers are there, however long its body is. */
+  readonly onOwnAnswer: (status: number, headers: IncomingHttpHeaders) => void;
 }
 
 /** An answer, or its beginning; the rest breaks with an error if the upstream's answer does. */
@@ -151,6 +153,7 @@
       controller.abort(new MisplacedAnswer('What came on the connection is no answer to the request.'));
       return;
     }
+    this.request.onOwnAnswer(status, headers);
     if (endsWithConnection(this.request.method, status, headers)) this.resetsBefore = this.resets();
     this.status = status;
     this.headers = headers;
--- a/packages/calls/src/upstreamDialect.ts
+++ b/packages/calls/src/upstreamDialect.ts
@@ -1,6 +1,7 @@
 /** How requests and answers between a daemon and its upstream are marked: what differs between installations. */
 import { type CallContext } from '@cleatquay/protocol';
 import { type IncomingHttpHeaders } from 'node:http';
+import { type AnswerNotice, answerNotice } from './answerNotice.js';
 import { OWN_HEADERS, headerNames } from './headers.js';
 
 /** What an answer of an upstream says of the request: `other-instance` did not run it either. */
@@ -18,6 +19,8 @@
   readonly instanceOf: (headers: IncomingHttpHeaders) => string | undefined;
   /** Whether the upstream ran the request or says that it didn't. */
   readonly meaningOf: (status: number, headers: IncomingHttpHeaders) => AnswerMeaning;
+  /** What an answer says of the upstream itself. */
+  readonly noticeOf: (headers: IncomingHttpHeaders) => AnswerNotice;
 }
 
 const SHED = [429, 503];
@@ -36,4 +39,5 @@
   instanceOf: () => undefined,
   meaningOf: (status, headers) =>
     SHED.includes(status) && headers[headerNames.notRun] !== undefined ? 'not-run' : 'answer',
+  noticeOf: headers => answerNotice(headers[headerNames.rateLimit], headers[headerNames.leaving]),
 };
--- a/packages/calls/src/upstreamSide.ts
+++ b/packages/calls/src/upstreamSide.ts
@@ -240,6 +240,10 @@
         body: mayHaveBody && !isEmpty ? body : undefined,
         idempotent: route.idempotent,
         isOwnAnswer: (status, headers) => dialect.isOwnAnswer(status, headers, context),
+        onOwnAnswer: (status, headers) => {
+          if (dialect.meaningOf(status, headers) !== 'other-instance')
+            upstream.heard(dialect.noticeOf(headers));
+        },
       },
       signal,
     );
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -36,6 +36,7 @@
 import { addQuarantineGauges } from './quarantineGauges.js';
 import { quietBroker } from './quietBroker.js';
 import { readersOf } from './readers.js';
+import { addUpstreamGauges } from './upstreamGauges.js';
 import { checkListening, checkSameVm } from './upstreamAddress.js';
 import { type UpstreamBounds, type Upstreams } from './upstreams.js';
 
@@ -107,6 +108,7 @@
     addGauges(daemon.metrics, daemon.reported);
     addQuarantineGauges(daemon.metrics, daemon.core.quarantine);
     addOrganisationGauges(daemon.metrics, daemon.organisations);
+    addUpstreamGauges(daemon.metrics, daemon.upstreams);
     await daemon.serve();
     return daemon;
   }
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -42,6 +42,7 @@
 import { addRelayGauges } from './relayGauges.js';
 import { type RelayReportParts, relayDump, relayStatus } from './relayReport.js';
 import { type RelaySettings } from './relaySettings.js';
+import { addUpstreamGauges } from './upstreamGauges.js';
 import { type Announcement, type UpstreamBounds, type Upstreams } from './upstreams.js';
 
 /** How long tries that may run only once are remembered, ms: longer than any caller waits for one. */
@@ -167,6 +168,7 @@
     addQuarantineGauges(daemon.metrics, daemon.core.quarantine);
     addRelayGauges(daemon.metrics, daemon);
     addOrganisationGauges(daemon.metrics, daemon.organisations);
+    addUpstreamGauges(daemon.metrics, daemon.upstreams);
     await daemon.serve();
     return daemon;
   }
--- a/packages/daemon/src/upstreams.ts
+++ b/packages/daemon/src/upstreams.ts
@@ -1,12 +1,13 @@
 /** The upstreams that announced themselves to this daemon. */
 import { Admission, RouteCosts } from '@cleatquay/admission';
-import { type LocalUpstream, UpstreamConnections } from '@cleatquay/calls';
+import { type AnswerNotice, type LocalUpstream, UpstreamConnections } from '@cleatquay/calls';
 import { type Clock, type Random, type Timer } from '@cleatquay/clock';
 import { type Departure, type KnownUpstream } from '@cleatquay/membership';
 import { type Upstream } from '@cleatquay/protocol';
 import { check } from '@cleatquay/settings';
 import { type Static, Type } from '@sinclair/typebox';
 import { createHash } from 'node:crypto';
+import { NoticeLog } from './noticeLog.js';
 import { Starts } from './starts.js';
 
 /** Heartbeats that may be missing before an upstream is taken for gone. */
@@ -50,6 +51,9 @@
   readonly connections: UpstreamConnections;
   isDraining: boolean;
   drainedByOperator: boolean;
+  /** What its latest answer names. */
+  rateLimit: AnswerNotice['rateLimit'];
+  readonly noticeLog: NoticeLog;
   silence: Timer;
   /** Clock time of its last heartbeat, ms. */
   heardAt: number;
@@ -88,6 +92,8 @@
 
 /** Upstreams by service; one that has missed its heartbeats goes. */
 export class Upstreams implements AsyncDisposable {
+  /** Answers that the upstreams here gave, and those that named a rate limit. */
+  readonly counts = { answers: 0, withRateLimit: 0 };
   private readonly byService = new Map<string, Announced>();
   /** The latest start of each instance that left, that was replaced, and that was heard of at all. */
   private readonly departed = new Starts();
@@ -196,12 +202,14 @@
     address: string;
     draining: boolean;
     load: object;
+    rateLimit: AnswerNotice['rateLimit'];
     counts: Record<string, number>;
   }[] {
-    return [...this.byService.values()].map(({ announcement, isDraining, admission }) => ({
+    return [...this.byService.values()].map(({ announcement, isDraining, admission, rateLimit }) => ({
       service: announcement.service,
       address: announcement.address,
       draining: isDraining,
+      rateLimit,
       load: admission.load(),
       counts: { ...admission.counts },
     }));
@@ -212,6 +220,14 @@
     return Math.min(...[...this.byService.values()].map(({ admission }) => admission.load().admissionLevel));
   }
 
+  /** The lowest rate that an upstream here names; undefined if none does. */
+  lowestRateLimit(): number | undefined {
+    const rates = [...this.byService.values()]
+      .map(({ rateLimit }) => rateLimit)
+      .filter(rate => typeof rate === 'number');
+    return rates.length === 0 ? undefined : Math.min(...rates);
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     for (const upstream of [...this.byService.values()]) {
       this.byService.delete(upstream.announcement.service);
@@ -242,8 +258,11 @@
       address,
       isDraining: this.isLeaving(announcement),
       drainedByOperator: false,
+      rateLimit: 'none',
+      noticeLog: new NoticeLog(clock, this.options.log),
       refusedConnection: () => this.remove(upstream, 'It takes no connections'),
       anotherAnswers: () => this.replace(upstream),
+      heard: notice => this.heardNotice(upstream, notice),
       silence: this.watch(announcement),
       heardAt: clock.now(),
       [Symbol.asyncDispose]: async () => {
@@ -263,6 +282,14 @@
     return `${shortened(instanceId)}@${String(born)}`;
   }
 
+  private heardNotice(upstream: Announced, notice: AnswerNotice): void {
+    const { service, instanceId } = upstream.announcement;
+    this.counts.answers++;
+    if (typeof notice.rateLimit === 'number') this.counts.withRateLimit++;
+    upstream.rateLimit = notice.rateLimit;
+    upstream.noticeLog.heard(notice, { service, instanceId });
+  }
+
   /** A late announcement says nothing new; one that left stays so. */
   private renew(known: Announced, announcement: Announcement): void {
     if (announcement.sequence > 0 && announcement.sequence <= known.announcement.sequence) return;
--- a/packages/errors/src/resultCodes.ts
+++ b/packages/errors/src/resultCodes.ts
@@ -49,6 +49,12 @@
   usageInvalid: row(1014, 400, 'not-run', 'See cleatquay --help.'),
   keyMissing: row(1015, 401, 'not-run', 'Send one key, as "Authorization: Bearer KEY".'),
   keyUnknown: row(1016, 401, 'not-run', 'Ask the operators for a key: no organisation holds this one.'),
+  noticeInvalid: row(
+    1017,
+    400,
+    'not-run',
+    'Correct what the upstream says of itself in its answers; what it said before holds on.',
+  ),
   overloaded: row(2001, 503, 'not-run', 'Come back after the time in Retry-After.'),
   refusedEarly: row(2002, 503, 'not-run', 'Come back after the time in Retry-After.'),
   draining: row(2003, 503, 'not-run', 'Ask another daemon; this one is leaving.'),
--- a/packages/standins/src/platform/upstreamOfPlatform.ts
+++ b/packages/standins/src/platform/upstreamOfPlatform.ts
@@ -55,6 +55,10 @@
   endsAfterMs: number;
   /** How long it is away then, ms. */
   awayMs: number;
+  /** What it names in all its answers as the requests a second that it takes; nothing if undefined. */
+  rateLimit: string | string[] | undefined;
+  /** Says in all its answers that it leaves, whatever its announcements say. */
+  saysLeaving: boolean;
 }
 
 /** One request that reached it. */
@@ -83,6 +87,8 @@
   fault: () => 'none',
   endsAfterMs: 55,
   awayMs: 2500,
+  rateLimit: undefined,
+  saysLeaving: false,
 };
 
 /** A running upstream. */
@@ -295,11 +301,21 @@
       'Server-Stamp': this.instanceId,
       'Instance-Id': this.instanceId,
       'Content-Length': String(text.length),
+      ...this.notice(),
       ...more,
     });
     response.end(text);
   }
 
+  /** What it says of itself in each answer. */
+  private notice(): Record<string, string | string[]> {
+    const { rateLimit, saysLeaving } = this.behaviour;
+    return {
+      ...(rateLimit !== undefined && { 'Server-Limit': rateLimit }),
+      ...(saysLeaving && { 'Server-Leaving': '1' }),
+    };
+  }
+
   private async callOthers(requestId: string): Promise<boolean> {
     for (const { host, path } of this.behaviour.calls) {
       const id = `${requestId}.${String(++this.calls)}`;
--- /dev/null
+++ b/tests/answerNotice.spec.ts
@@ -0,0 +1,85 @@
+import { answerNotice } from '@cleatquay/calls';
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { type Answer, PlatformFleet, routeTo, until } from './fixtures/platformFleet.js';
+
+describe('what an upstream says of itself in its answers', () => {
+  describe('the rate limit', () => {
+    for (const [text, rate] of [
+      ['18.9', 18.9],
+      ['0', 0],
+      ['11', 11],
+      [' 7.50 ', 7.5],
+    ] as const)
+      it(`"${text}" is ${String(rate)} requests a second`, () =>
+        expect(answerNotice(text, undefined).rateLimit).to.equal(rate));
+
+    for (const text of ['', '-3', 'many', 'NaN', 'Infinity', '1e308', '0x10', '1_000', '9'.repeat(400)])
+      it(`"${text.slice(0, 10)}" is unclear`, () =>
+        expect(answerNotice(text, undefined).rateLimit).to.equal('unclear'));
+
+    it('is the lowest of several, however they were sent', () => {
+      expect(answerNotice(['40', '12'], undefined).rateLimit).to.equal(12);
+      expect(answerNotice('40, 12', undefined).rateLimit).to.equal(12);
+      expect(answerNotice(['40', 'many'], undefined).rateLimit).to.equal(40);
+    });
+
+    it('is a number that can be counted with, or none, whatever is sent', () => {
+      fc.assert(
+        fc.property(fc.oneof(fc.string(), fc.array(fc.string()), fc.double().map(String)), sent => {
+          const { rateLimit } = answerNotice(sent, undefined);
+          if (typeof rateLimit === 'number') expect(rateLimit).to.be.within(0, Number.MAX_VALUE);
+        }),
+      );
+    });
+  });
+
+  describe('that it leaves', () => {
+    it('is said by "1" only', () => {
+      expect(answerNotice(undefined, '1').isLeaving).to.equal(true);
+      for (const other of [undefined, '0', '', 'true', '11'])
+        expect(answerNotice(undefined, other).isLeaving).to.equal(false);
+    });
+  });
+
+  describe('for operators', () => {
+    let fleet: PlatformFleet;
+
+    beforeEach(async () => {
+      fleet = await PlatformFleet.start([{ service: 'history' }], [routeTo('history')]);
+    });
+
+    afterEach(() => fleet[Symbol.asyncDispose]());
+
+    const ask = (): Promise<Answer> => fleet.ask(0);
+    const lines = (text: string) => fleet.logged.filter(({ msg }) => msg.includes(text)).length;
+    const metrics = async () => {
+      const { operatorAddress } = fleet.nodes[0]!.daemon.membership.me;
+      return (await fetch(`http://${operatorAddress}/metrics`)).text();
+    };
+
+    it('is logged when it changes, and counted', async () => {
+      const { behaviour } = fleet.nodes[0]!.upstream;
+      await ask();
+      expect(await metrics()).to.match(/^cleatquay_upstream_rate_limit -1$/m);
+      behaviour.rateLimit = '18.9';
+      await ask();
+      expect(lines('names a rate limit.')).to.equal(1);
+      expect(await metrics()).to.match(/^cleatquay_upstream_rate_limit 18.9$/m);
+      expect(await metrics()).to.match(/^cleatquay_upstream_answers_with_rate_limit 1$/m);
+      behaviour.rateLimit = 'many';
+      await until(async () => (await ask()) && lines('CQ1017') === 1);
+      behaviour.rateLimit = undefined;
+      await until(async () => (await ask()) && lines('names no rate limit any more') === 1);
+    });
+
+    it('costs one line a second, however often it changes', async () => {
+      const { behaviour } = fleet.nodes[0]!.upstream;
+      for (let i = 1; i <= 20; i++) {
+        behaviour.rateLimit = String(1000 + i);
+        await ask();
+      }
+      expect(lines('names a rate limit.')).to.be.within(1, 2);
+    });
+  });
+});
