Give an upstream no more requests a second than it names in its answers

Callers saw nothing.

Cause: no part of a daemon read that header; the choice of an upstream and its admission go by slots and load only. Class: a bound that an upstream sets and that nobody was made to keep.

Why this mend holds: all requests for an upstream, whoever sends them, go through the daemon beside it, which is the only one that counts. Its admission takes a token of a bucket for each, beside a slot; half a second of tokens gathers at most, so that neither an idle time nor a suspension (by any clock) makes a burst. What would wait longer than the queue's patience for its token is refused at once, as not run, and goes elsewhere; the level that this sets, and the concurrency that goes with the rate, reach the entries with each answer. - A daemon that was started again knows no rate, and others that were told still count: they tell it with what they send, until it has an answer of its own. Whoever was told tells, so that nothing is sent unlimited by those that count. - An upstream that is out and heard of again keeps its limit; its next start doesn't have it. - An answer without a rate ends it, but not one that was asked for before the rate was named. What makes no sense changes nothing; of several rates the lowest holds. Below one request in 2 s there are no answers to end it: its health check is asked each 2.5 s; where that names no rate, one request goes through and tells.

--- a/packages/admission/src/admission.ts
+++ b/packages/admission/src/admission.ts
@@ -1,9 +1,10 @@
-/** Admission to one upstream: a concurrency limit, a short queue in order of importance, and the level it implies. */
+/** Admission to one upstream: limits of concurrency and rate, a short queue in order of importance, and the level they imply. */
 import { type CancelSignal, type Clock, type Random, type Timer } from '@cleatquay/clock';
 import { invariant } from '@cleatquay/errors';
 import { type Load, type Refusal, refusalOf } from '@cleatquay/protocol';
 import { AdaptiveLimit } from './adaptiveLimit.js';
 import { AdmissionLevel } from './admissionLevel.js';
+import { RateLimit } from './rateLimit.js';
 
 const TICK_MS = 25;
 const SMALLEST_QUEUE = 2;
@@ -12,6 +13,7 @@
 const LATENCY_WEIGHT = 0.05;
 const SHORTEST_RETRY_AFTER_MS = 500;
 const LONGEST_RETRY_AFTER_MS = 10_000;
+const MS_A_SECOND = 1000;
 
 /** How the work under a permit ended. */
 export type PermitResult = 'answered' | 'shed' | 'failed';
@@ -35,6 +37,8 @@
   readonly maxQueueMs: () => number;
   /** True for an upstream that was not seen before: it gets a slow start. */
   readonly cold: boolean;
+  /** The rate that it names, if it was heard of before. */
+  readonly rate?: RateLimit;
 }
 
 interface Waiter {
@@ -48,6 +52,7 @@
 /** Decides what runs. Everything that it refuses ran nowhere. */
 export class Admission implements Disposable {
   readonly limit: AdaptiveLimit;
+  readonly rate: RateLimit;
   readonly counts = { admitted: 0, refused: 0, expired: 0 };
   private readonly level: AdmissionLevel;
   private readonly queue: Waiter[] = [];
@@ -60,13 +65,14 @@
 
   constructor(private readonly options: AdmissionOptions) {
     this.limit = new AdaptiveLimit(options.clock, options.slots, options.cold);
+    this.rate = options.rate ?? new RateLimit(options.clock);
     this.level = new AdmissionLevel(options.classes);
   }
 
   /** A permit, at once or after a short wait, or a refusal. `remainingMs` is what the deadline leaves. */
   async request(level: number, remainingMs: number, signal: CancelSignal): Promise<Permit | Refusal> {
     if (signal.aborted) return refusalOf('deadlineTooShort', 'The caller is gone.');
-    if (this.queue.length === 0 && this.inFlight < this.limit.value) return this.grant();
+    if (this.queue.length === 0 && this.hasRoom) return this.grant();
     return new Promise(resolve => this.enqueue({ level, remainingMs }, signal, resolve));
   }
 
@@ -75,8 +81,8 @@
     return {
       inFlight: this.inFlight,
       queued: this.queue.length,
-      limit: this.limit.value,
-      admissionLevel: this.level.value,
+      limit: Math.min(this.limit.value, this.concurrencyAtRate()),
+      admissionLevel: this.rate.perSecond === 0 ? 0 : this.level.value,
     };
   }
 
@@ -94,9 +100,21 @@
       waiter.settle(refusalOf('draining', 'The upstream left.', ELSEWHERE));
   }
 
+  private get hasRoom(): boolean {
+    return this.inFlight < this.limit.value && this.rate.hasRoom;
+  }
+
+  /** How many requests run at once at the rate that the upstream names, at least one (Little's law). */
+  private concurrencyAtRate(): number {
+    const { perSecond } = this.rate;
+    if (perSecond === undefined) return Number.POSITIVE_INFINITY;
+    return Math.max(1, Math.ceil((perSecond * this.latencyMs) / MS_A_SECOND));
+  }
+
   private grant(): Permit {
-    invariant(this.inFlight < this.limit.value, 'Admission: the limit was passed.');
+    invariant(this.hasRoom, 'Admission: a limit was passed.');
     this.inFlight++;
+    this.rate.take();
     this.counts.admitted++;
     const start = this.options.clock.now();
     let held = true;
@@ -156,7 +174,9 @@
 
   /** As many as the upstream gets through within the longest delay. */
   private capacity(isTop: boolean): number {
-    return Math.max(SMALLEST_QUEUE, Math.floor((this.limit.value * this.patienceMs(isTop)) / this.latencyMs));
+    const patienceMs = this.patienceMs(isTop);
+    const byConcurrency = Math.floor((this.limit.value * patienceMs) / this.latencyMs);
+    return Math.min(Math.max(SMALLEST_QUEUE, byConcurrency), Math.floor(this.rate.within(patienceMs)));
   }
 
   /** The top class may wait longer: behind work that is never interrupted, its own short bursts overflow a short queue. */
@@ -206,7 +226,7 @@
 
   private dequeue(): void {
     const now = this.options.clock.now();
-    while (this.queue.length > 0 && this.inFlight < this.limit.value) {
+    while (this.queue.length > 0 && this.hasRoom) {
       const next = this.queue.shift();
       if (!next) return;
       if (now <= next.latestStart) next.settle(this.grant());
@@ -231,6 +251,7 @@
       this.queue.splice(this.queue.indexOf(waiter), 1);
       this.refuse(waiter);
     }
+    this.dequeue();
     if (!this.refusedInTick) this.level.rise();
     if (!this.refusedInTick && this.level.isOpen) this.overloadedSince = undefined;
     this.refusedInTick = false;
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -5,4 +5,5 @@
 export { AdmissionLevel } from './admissionLevel.js';
 export { levelOf, sendingLevel, strictLevelOf } from './level.js';
 export { RouteCosts } from './routeCosts.js';
+export { RateLimit } from './rateLimit.js';
 export { ProcessorPressure } from './processorPressure.js';
--- /dev/null
+++ b/packages/admission/src/rateLimit.ts
@@ -0,0 +1,97 @@
+/**
+ * How many requests an upstream takes, by the rate that it names in its answers: a bucket of tokens, of which each
+ * request takes one.
+ *
+ * The daemon beside the upstream keeps the only one. All requests for the upstream, whoever sends them, go by it.
+ */
+import { type Clock } from '@cleatquay/clock';
+
+/**
+ * Tokens that may gather, as time at the rate, ms. Short, since whatever has gathered may go at once after a time in
+ * which nothing was asked, or in which this process stood still.
+ */
+const BURST_MS = 500;
+const MS_A_SECOND = 1000;
+
+/** The rate limit of one start of an upstream. */
+export class RateLimit {
+  private rate: number | undefined;
+  private tokens = 0;
+  private filledAt = 0;
+  private namedAt = Number.NEGATIVE_INFINITY;
+  private hasAnswered = false;
+
+  constructor(private readonly clock: Pick<Clock, 'awake'>) {}
+
+  /** Requests a second; undefined while none is named. */
+  get perSecond(): number | undefined {
+    return this.rate;
+  }
+
+  /** An answer names a rate. */
+  named(perSecond: number): void {
+    this.hasAnswered = true;
+    this.namedAt = this.clock.awake();
+    this.set(perSecond);
+  }
+
+  /**
+   * An answer names none. One to a request that was given to the upstream before the rate was last named, by `awake`, may
+   * have been passed on the way by the answer that named it, and ends nothing.
+   */
+  notNamed(askedAt: number): void {
+    this.hasAnswered = true;
+    if (askedAt > this.namedAt) this.rate = undefined;
+  }
+
+  /** Others have heard of a rate. Holds until the upstream's first answer to this process. */
+  told(perSecond: number): void {
+    if (!this.hasAnswered) this.set(perSecond);
+  }
+
+  /** Lets one request go at once, if none may. */
+  allowOne(): void {
+    this.fill();
+    this.tokens = Math.max(1, this.tokens);
+  }
+
+  /** Whether a request may go now. */
+  get hasRoom(): boolean {
+    if (this.rate === undefined) return true;
+    this.fill();
+    return this.tokens >= 1;
+  }
+
+  /** A request goes. */
+  take(): void {
+    if (this.rate !== undefined) this.tokens--;
+  }
+
+  /** Requests that may go until so many ms from now. */
+  within(ms: number): number {
+    if (this.rate === undefined) return Number.POSITIVE_INFINITY;
+    this.fill();
+    return this.tokens + (this.rate * ms) / MS_A_SECOND;
+  }
+
+  private set(perSecond: number): void {
+    if (this.rate === undefined) {
+      this.tokens = 0;
+      this.filledAt = this.clock.awake();
+    } else this.fill();
+    this.rate = perSecond;
+    this.tokens = Math.min(this.tokens, this.mostTokens);
+  }
+
+  private fill(): void {
+    const now = this.clock.awake();
+    const gained = ((this.rate ?? 0) * (now - this.filledAt)) / MS_A_SECOND;
+    this.filledAt = now;
+    this.tokens = Math.min(this.mostTokens, this.tokens + gained);
+  }
+
+  /** At least a whole one, so that a slow rate lets requests go at all. */
+  private get mostTokens(): number {
+    return Math.max(1, ((this.rate ?? 0) * BURST_MS) / MS_A_SECOND);
+  }
+}
--- a/packages/calls/src/answers.ts
+++ b/packages/calls/src/answers.ts
@@ -48,6 +48,7 @@
     refusal: undefined,
     load: undefined,
     unusedRetryTokens: 0,
+    notice: undefined,
     ...part,
   };
 }
--- a/packages/calls/src/entry.ts
+++ b/packages/calls/src/entry.ts
@@ -381,5 +381,5 @@
 }
 
 function headOf({ service, method, path, headers }: CallerRequest, context: CallContext): RequestHead {
-  return { context, service, method, path, headers, fingerprint: '', endedStarts: [] };
+  return { context, service, method, path, headers, fingerprint: '', endedStarts: [], notice: undefined };
 }
--- a/packages/calls/src/forwarder.ts
+++ b/packages/calls/src/forwarder.ts
@@ -22,6 +22,7 @@
   answerOf,
   isLast,
 } from './callHandler.js';
+import { HeardNotices } from './heardNotices.js';
 import { heldBack } from './heldBack.js';
 import { type Journal } from './journal.js';
 import { LostContact } from './lostContact.js';
@@ -71,6 +72,9 @@
 
 /** Sends calls to upstreams. */
 export class Forwarder {
+  /** What was heard of upstreams beside other daemons. */
+  readonly notices = new HeardNotices();
+
   constructor(private readonly options: ForwarderOptions) {}
 
   /** One call with its retries. The last part's unused tokens are what is left of the call's own. */
@@ -124,7 +128,12 @@
       });
       const result = await this.attempt({
         route,
-        head: { ...head, context: sent, ...named.told(quarantine) },
+        head: {
+          ...head,
+          context: sent,
+          ...named.told(quarantine),
+          notice: this.notices.toTell(route.service, candidate),
+        },
         context: sent,
         candidate,
         body,
@@ -211,6 +220,7 @@
       if (load) router.heard(candidate.address, route.name, load);
     };
     heard(first);
+    this.notices.heard(route.service, candidate, first);
     const { refusal, unusedRetryTokens, load } = first;
     if (refusal) return { refusal, unusedRetryTokens, load };
     const check = new BodyCheck();
--- a/packages/calls/src/headTemplates.ts
+++ b/packages/calls/src/headTemplates.ts
@@ -42,6 +42,7 @@
         headers: '',
         fingerprint: head.fingerprint,
         endedStarts: head.endedStarts,
+        notice: head.notice,
         context: {
           ...context,
           route: '',
@@ -79,6 +80,7 @@
       headers,
       fingerprint: head.fingerprint,
       endedStarts: head.endedStarts,
+      notice: head.notice,
       context: { ...context, rootId, route, idempotent, originService, targetEpoch },
     };
   }
--- a/packages/calls/src/localUpstream.ts
+++ b/packages/calls/src/localUpstream.ts
@@ -1,5 +1,6 @@
 /** The upstream beside a daemon, as calls see it. */
 import { type Admission, type RouteCosts } from '@cleatquay/admission';
+import { type UpstreamNotice } from '@cleatquay/protocol';
 import { type AnswerNotice } from './answerNotice.js';
 import { type UpstreamConnections } from './upstreamConnections.js';
 
@@ -19,6 +20,8 @@
   readonly refusedConnection: () => void;
   /** Another instance answers at its address: it is gone. */
   readonly anotherAnswers: () => void;
-  /** What an answer of it says of it. */
-  readonly heard: (notice: AnswerNotice) => void;
+  /** What it has said of itself that others should know; undefined as a rule. */
+  readonly notice: UpstreamNotice | undefined;
+  /** What an answer of it says of it, to a request that was given to it at a time by the clock's `awake`, ms. */
+  readonly heard: (notice: AnswerNotice, askedAt: number) => void;
 }
--- a/packages/calls/src/relay.ts
+++ b/packages/calls/src/relay.ts
@@ -158,7 +158,16 @@
     });
     const callRoute: CallRoute = { name: route.name, service, idempotent: route.idempotent, calls: [] };
     const { method, path, headers } = request;
-    const head: RequestHead = { context, service, method, path, headers, fingerprint: '', endedStarts: [] };
+    const head: RequestHead = {
+      context,
+      service,
+      method,
+      path,
+      headers,
+      fingerprint: '',
+      endedStarts: [],
+      notice: undefined,
+    };
     const given = new Cancellation();
     const giveUp = () => given.abort(CALLER_LEFT);
     if (signal.aborted) giveUp();
--- a/packages/calls/src/upstreamSide.ts
+++ b/packages/calls/src/upstreamSide.ts
@@ -19,6 +19,7 @@
   type RequestHead,
   type SealAnswer,
   type SealRequest,
+  type UpstreamNotice,
   endOf,
   refusalOf,
 } from '@cleatquay/protocol';
@@ -71,6 +72,8 @@
   readonly dialect: UpstreamDialect;
   /** The upstream of a service beside this daemon. */
   readonly upstream: (service: string) => LocalUpstream | undefined;
+  /** A sender has heard what the upstream of a service beside this daemon said to an earlier process here. */
+  readonly told: (service: string, notice: UpstreamNotice) => void;
   /** The level from which on calls of a route are refused further down. */
   readonly levelBelow: (route: CallRoute) => number;
   readonly tries: TryMemory;
@@ -90,6 +93,7 @@
   async handle(head: RequestHead, body: CallBody, signal: CancelSignal): Promise<CallAnswer> {
     const context = head.context;
     const route = this.options.routeOf(head);
+    if (head.notice) this.options.told(head.service, head.notice);
     const upstream = this.options.upstream(head.service);
     const early = this.refuseEarly(context, route, upstream);
     if (early || !context || !route || !upstream) {
@@ -100,7 +104,8 @@
     for (const start of head.endedStarts) quarantine.endedUnder(head, start);
     const call = { head, context, route, upstream, body, arrivedAt: clock.now() };
     const isFree = this.standingOf(call) === 'free';
-    return isFree ? this.serve(call, signal) : this.serveApart(call, signal);
+    const answer = await (isFree ? this.serve(call, signal) : this.serveApart(call, signal));
+    return withNotice(answer, upstream);
   }
 
   /** A call is named only while some request is suspected. */
@@ -183,7 +188,15 @@
     }
     if (!route.idempotent) tries.refused(requestId);
     const { inFlight, queued, limit, admissionLevel } = upstream.admission.load();
-    const facts = { level, inFlight, queued, limit, admissionLevel };
+    const { perSecond } = upstream.admission.rate;
+    const facts = {
+      level,
+      inFlight,
+      queued,
+      limit,
+      admissionLevel,
+      ...(perSecond !== undefined && { requestsPerSecond: perSecond }),
+    };
     journal.note(requestId, 'Not admitted.', { result: resultByCode(permit.code), ...facts });
     journal.ended(requestId, true);
     return permit;
@@ -229,7 +242,8 @@
   }
 
   private ask({ head, context, route, upstream, body }: Work, signal: CancelSignal): Promise<UpstreamAnswer> {
-    const { dialect } = this.options;
+    const { dialect, clock } = this.options;
+    const askedAt = clock.awake();
     const mayHaveBody = head.method !== 'GET' && head.method !== 'HEAD';
     const isEmpty = Buffer.isBuffer(body) && body.length === 0;
     return upstream.connections.ask(
@@ -242,7 +256,7 @@
         isOwnAnswer: (status, headers) => dialect.isOwnAnswer(status, headers, context),
         onOwnAnswer: (status, headers) => {
           if (dialect.meaningOf(status, headers) !== 'other-instance')
-            upstream.heard(dialect.noticeOf(headers));
+            upstream.heard(dialect.noticeOf(headers), askedAt);
         },
       },
       signal,
@@ -366,6 +380,10 @@
   };
 }
 
+function withNotice(answer: CallAnswer, { notice }: LocalUpstream): CallAnswer {
+  return notice ? { ...answer, first: { ...answer.first, notice } } : answer;
+}
+
 /** What was started as non-idempotent runs on, whoever leaves. */
 const NEVER = NEVER_CANCELLED;
 
--- a/packages/daemon/src/core.ts
+++ b/packages/daemon/src/core.ts
@@ -1,5 +1,6 @@
 /** What every daemon has, whatever its callers speak: membership, the inner protocol, and the upstreams beside it. */
 import {
+  type AnswerNotice,
   type CallAnswer,
   type CallBody,
   type CallHandler,
@@ -37,6 +38,7 @@
 import { type Candidate, Directory, Router } from '@cleatquay/routing';
 import { type Logger } from 'pino';
 import { DecisionLog } from './decisionLog.js';
+import { askHealth } from './upstreamHealth.js';
 import { Upstreams, type UpstreamsOptions } from './upstreams.js';
 
 /** Calls to a leaving peer may still be in flight; its connection is closed so much later, ms. */
@@ -70,6 +72,8 @@
     UpstreamsOptions,
     'protection' | 'heartbeatMs' | 'slowStart' | 'classes' | 'bounds' | 'checkAddress'
   >;
+  /** Path of the health check of a service's upstreams; undefined if they have none. */
+  readonly healthPath: (service: string) => string | undefined;
   readonly dialect: UpstreamDialect;
   readonly retries: RetryBudget;
   readonly freeMoves: number;
@@ -164,6 +168,7 @@
       clock,
       random,
       onChange: list => this.announceUpstreams(list),
+      askNotice: (service, address) => this.askNotice(service, address),
       log: (message, facts) => upstreamsLog.info(facts, `Upstreams: ${message}`),
     });
     const requests = new DecisionLog(clock, log.child({ part: 'requests' }));
@@ -184,6 +189,7 @@
       routeOf: options.routeOf,
       dialect: options.dialect,
       upstream: service => this.upstreams.get(service),
+      told: (service, notice) => this.upstreams.told(service, notice),
       levelBelow: route => this.levelBelow(route),
       tries: this.tries,
       running: this.running,
@@ -243,6 +249,12 @@
     return isToHome ? this.options.atHome(head, body, signal) : this.upstreamSide.handle(head, body, signal);
   }
 
+  private async askNotice(service: string, address: string): Promise<AnswerNotice | undefined> {
+    const path = this.options.healthPath(service);
+    if (path === undefined) return undefined;
+    return this.options.dialect.noticeOf((await askHealth(address, path)).headers);
+  }
+
   private contactOf({ address, failureDomain }: Candidate): Contact {
     if (address === this.self) return 'good';
     const own = this.peers.contact(address);
@@ -277,6 +289,7 @@
     if (now?.epoch !== epoch || now.state === 'ALIVE' || now.state === 'SUSPECT') return;
     this.peers.forget(address);
     this.router.forget(address);
+    this.forwarder.notices.forget(address);
   }
 
   private heardConfiguration(configuration: KnownConfiguration, from: string): void {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -168,6 +168,7 @@
           await checkListening(address);
         },
       },
+      healthPath: () => undefined,
       dialect: ownDialect,
       retries: new RetryAllowance(),
       freeMoves: 0,
--- a/packages/daemon/src/formerUpstreams.ts
+++ b/packages/daemon/src/formerUpstreams.ts
@@ -6,14 +6,11 @@
 import { type Clock } from '@cleatquay/clock';
 import { asFailure } from '@cleatquay/errors';
 import { type KnownUpstream } from '@cleatquay/membership';
-import { request } from 'undici';
+import { askHealth } from './upstreamHealth.js';
 import { type Announcement } from './upstreams.js';
 
 /** A look whether there is a configuration, which tells the path of the health check, ms. */
 const CONFIGURATION_CHECK_MS = 25;
-/** A health check that takes longer isn't waited for, ms: it takes about 6 on an idle upstream (brief). */
-const HEALTH_TIMEOUT_MS = 500;
-const HEALTHY = 200;
 
 /** What taking over needs of its daemon. */
 export interface FormerUpstreamsOptions {
@@ -61,8 +58,6 @@
   while (healthPath(service) === undefined && clock.now() < end) await clock.sleep(CONFIGURATION_CHECK_MS);
   const path = healthPath(service);
   if (path === undefined || isKnown(service)) return false;
-  const signal = AbortSignal.timeout(HEALTH_TIMEOUT_MS);
-  const { statusCode, headers, body } = await request(`http://${address}${path}`, { signal });
-  await body.dump();
-  return statusCode === HEALTHY && instanceOf(headers) === instanceId;
+  const { isHealthy, headers } = await askHealth(address, path);
+  return isHealthy && instanceOf(headers) === instanceId;
 }
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -276,6 +276,7 @@
         bounds: service => this.boundsOf(service),
         checkAddress: () => Promise.resolve(),
       },
+      healthPath: service => this.healthPathOf(service),
       dialect: installation.upstreams,
       retries: new FleetRetryBudget(clock, retries, () => this.membership.aliveCount() + 1),
       freeMoves: 3,
@@ -325,6 +326,10 @@
     };
   }
 
+  private healthPathOf(service: string): string | undefined {
+    return this.configuration.inForce?.service(service)?.healthPath;
+  }
+
   private makeMeeting(): Meeting {
     const { clock, random, log, installation } = this.parts;
     const meetingLog = log.child({ part: 'meeting' });
@@ -348,7 +353,7 @@
       clock,
       heartbeatMs: settings.heartbeatMs,
       instanceOf: installation.upstreams.instanceOf,
-      healthPath: service => this.configuration.inForce?.service(service)?.healthPath,
+      healthPath: service => this.healthPathOf(service),
       isKnown: service => this.upstreams.get(service) !== undefined,
       announce: announcement => this.upstreams.announce(announcement),
       log: (message, facts) => log.info(facts, `Upstreams: ${message}`),
--- a/packages/daemon/src/upstreams.ts
+++ b/packages/daemon/src/upstreams.ts
@@ -1,13 +1,15 @@
 /** The upstreams that announced themselves to this daemon. */
 import { Admission, RouteCosts } from '@cleatquay/admission';
-import { type AnswerNotice, type LocalUpstream, UpstreamConnections } from '@cleatquay/calls';
+import { type AnswerNotice, type LocalUpstream, UpstreamConnections, isRate } from '@cleatquay/calls';
 import { type Clock, type Random, type Timer } from '@cleatquay/clock';
 import { type Departure, type KnownUpstream } from '@cleatquay/membership';
-import { type Upstream } from '@cleatquay/protocol';
+import { type Upstream, type UpstreamNotice } from '@cleatquay/protocol';
 import { check } from '@cleatquay/settings';
 import { type Static, Type } from '@sinclair/typebox';
 import { createHash } from 'node:crypto';
 import { NoticeLog } from './noticeLog.js';
+import { RateLimits } from './rateLimits.js';
+import { SlowRate } from './slowRates.js';
 import { Starts } from './starts.js';
 
 /** Heartbeats that may be missing before an upstream is taken for gone. */
@@ -51,9 +53,8 @@
   readonly connections: UpstreamConnections;
   isDraining: boolean;
   drainedByOperator: boolean;
-  /** What its latest answer names. */
-  rateLimit: AnswerNotice['rateLimit'];
   readonly noticeLog: NoticeLog;
+  readonly slowRate: SlowRate;
   silence: Timer;
   /** Clock time of its last heartbeat, ms. */
   heardAt: number;
@@ -75,6 +76,8 @@
   readonly bounds: (service: string) => UpstreamBounds;
   /** Fails for an announced address at which this daemon may not look for an upstream. */
   readonly checkAddress: (address: string) => Promise<void>;
+  /** What the health check of an upstream says of it; undefined if it has none. */
+  readonly askNotice: (service: string, address: string) => Promise<AnswerNotice | undefined>;
   /** Told whenever what the fleet should know has changed. */
   readonly onChange: (upstreams: Upstream[]) => void;
   readonly log: (message: string, facts: object) => void;
@@ -99,8 +102,11 @@
   private readonly departed = new Starts();
   private readonly replaced = new Starts();
   private readonly heard = new Starts();
+  private readonly rateLimits: RateLimits;
 
-  constructor(private readonly options: UpstreamsOptions) {}
+  constructor(private readonly options: UpstreamsOptions) {
+    this.rateLimits = new RateLimits(options.clock);
+  }
 
   /** Takes an announcement, or fails saying what is wrong with it. */
   async announce(data: unknown): Promise<void> {
@@ -190,7 +196,7 @@
     return [...this.byService.values()].map(({ announcement, isDraining, admission }) => ({
       service: announcement.service,
       address: announcement.address,
-      slots: admission.load().limit,
+      slots: admission.limit.value,
       connections: announcement.connections,
       draining: isDraining,
     }));
@@ -202,14 +208,15 @@
     address: string;
     draining: boolean;
     load: object;
-    rateLimit: AnswerNotice['rateLimit'];
+    /** Requests a second that it names; undefined while it names none. */
+    rateLimit: number | undefined;
     counts: Record<string, number>;
   }[] {
-    return [...this.byService.values()].map(({ announcement, isDraining, admission, rateLimit }) => ({
+    return [...this.byService.values()].map(({ announcement, isDraining, admission }) => ({
       service: announcement.service,
       address: announcement.address,
       draining: isDraining,
-      rateLimit,
+      rateLimit: admission.rate.perSecond,
       load: admission.load(),
       counts: { ...admission.counts },
     }));
@@ -220,11 +227,19 @@
     return Math.min(...[...this.byService.values()].map(({ admission }) => admission.load().admissionLevel));
   }
 
+  /** A peer has heard what the upstream of a service said to an earlier process here. */
+  told(service: string, { requestsPerSecond }: UpstreamNotice): void {
+    if (requestsPerSecond === undefined || !isRate(requestsPerSecond)) return;
+    const upstream = this.byService.get(service);
+    upstream?.admission.rate.told(requestsPerSecond);
+    upstream?.slowRate.check();
+  }
+
   /** The lowest rate that an upstream here names; undefined if none does. */
   lowestRateLimit(): number | undefined {
     const rates = [...this.byService.values()]
-      .map(({ rateLimit }) => rateLimit)
-      .filter(rate => typeof rate === 'number');
+      .map(({ admission }) => admission.rate.perSecond)
+      .filter(rate => rate !== undefined);
     return rates.length === 0 ? undefined : Math.min(...rates);
   }
 
@@ -238,6 +253,7 @@
   private add(announcement: Announcement): void {
     const { clock, random, protection, slowStart, classes, bounds } = this.options;
     const { service, address, instanceId } = announcement;
+    const start = this.startOf(announcement);
     const admission = new Admission({
       clock,
       random,
@@ -245,6 +261,7 @@
       slots: this.slotsOf(announcement),
       maxQueueMs: () => bounds(service).maxQueueMs,
       cold: protection && slowStart,
+      rate: this.rateLimits.of(instanceId === '' ? address : start),
     });
     // Where nothing is declared, as many as it can use: no more requests than slots are under way at once.
     const allowed = Math.min(announcement.connections, bounds(service).connections ?? announcement.slots);
@@ -254,15 +271,23 @@
       costs: new RouteCosts(),
       connections: new UpstreamConnections(clock, address, allowed),
       instanceId,
-      start: this.startOf(announcement),
+      start,
       address,
       isDraining: this.isLeaving(announcement),
       drainedByOperator: false,
-      rateLimit: 'none',
       noticeLog: new NoticeLog(clock, this.options.log),
+      slowRate: new SlowRate({
+        clock,
+        rate: admission.rate,
+        isHere: () => this.byService.get(service) === upstream,
+        ask: () => this.options.askNotice(service, address),
+      }),
       refusedConnection: () => this.remove(upstream, 'It takes no connections'),
       anotherAnswers: () => this.replace(upstream),
-      heard: notice => this.heardNotice(upstream, notice),
+      heard: (notice, askedAt) => this.heardNotice(upstream, notice, askedAt),
+      get notice() {
+        return noticeOf(upstream);
+      },
       silence: this.watch(announcement),
       heardAt: clock.now(),
       [Symbol.asyncDispose]: async () => {
@@ -272,6 +297,7 @@
       },
     };
     this.byService.set(service, upstream);
+    upstream.slowRate.check();
     this.options.log('An upstream announced itself.', { ...announcement });
     this.changed();
   }
@@ -282,11 +308,16 @@
     return `${shortened(instanceId)}@${String(born)}`;
   }
 
-  private heardNotice(upstream: Announced, notice: AnswerNotice): void {
+  private heardNotice(upstream: Announced, notice: AnswerNotice, askedAt: number): void {
     const { service, instanceId } = upstream.announcement;
+    const { rateLimit } = notice;
+    const { rate } = upstream.admission;
     this.counts.answers++;
-    if (typeof notice.rateLimit === 'number') this.counts.withRateLimit++;
-    upstream.rateLimit = notice.rateLimit;
+    if (typeof rateLimit === 'number') {
+      this.counts.withRateLimit++;
+      rate.named(rateLimit);
+      upstream.slowRate.check();
+    } else if (rateLimit === 'none') rate.notNamed(askedAt);
     upstream.noticeLog.heard(notice, { service, instanceId });
   }
 
@@ -356,6 +387,13 @@
 /** Stands for no limit on the plain path. */
 const UNLIMITED_SLOTS = 1_000_000;
 
+function noticeOf({ announcement, admission }: Announced): UpstreamNotice | undefined {
+  const { perSecond } = admission.rate;
+  if (perSecond === undefined) return undefined;
+  const { instanceId, born } = announcement;
+  return { instanceId, born, requestsPerSecond: perSecond };
+}
+
 function isSame(a: Announcement, b: Announcement): boolean {
   return a.address === b.address && a.instanceId === b.instanceId && a.born === b.born;
 }
--- a/packages/protocol/src/parts.ts
+++ b/packages/protocol/src/parts.ts
@@ -28,5 +28,13 @@
 
 /** The part that ends an exchange with a refusal. */
 export function endOf(refusal: Refusal, unusedRetryTokens: number, load: Load = noLoad()): AnswerPart {
-  return { head: undefined, body: Buffer.alloc(0), end: undefined, refusal, load, unusedRetryTokens };
+  return {
+    head: undefined,
+    body: Buffer.alloc(0),
+    end: undefined,
+    refusal,
+    load,
+    unusedRetryTokens,
+    notice: undefined,
+  };
 }
--- a/tests/linkServer.spec.ts
+++ b/tests/linkServer.spec.ts
@@ -18,6 +18,7 @@
       headers: '',
       fingerprint: '',
       endedStarts: [],
+      notice: undefined,
     },
     body: Buffer.alloc(0),
     last: true,
--- a/tests/organisationSoak.spec.ts
+++ b/tests/organisationSoak.spec.ts
@@ -8,6 +8,7 @@
 import { FAULTS } from './fixtures/processFaults.js';
 import { type WrittenOrganisation, configurationText, routeTo } from './fixtures/platformFleet.js';
 import { ProcessFleet, type ProcessVm } from './fixtures/platformProcesses.js';
+import { mostWithin } from './fixtures/windows.js';
 
 const ROUNDS = Number(process.env.CLEATQUAY_ROUNDS ?? 8);
 const SEED = process.env.CLEATQUAY_SEED ?? '1';
@@ -124,13 +125,12 @@
     const hot = ran().filter(({ requestId }) => sent.get(requestId)!.key === 'hot-key');
     expect(hot.length).to.be.greaterThan(0);
     expect(ran().length).to.be.greaterThan(hot.length);
-    expect(mostInWindow(hot.map(({ at }) => at)), `most runs of seed ${SEED}`).to.be.at.most(MOST_IN_WINDOW);
+    expect(
+      mostWithin(
+        hot.map(({ at }) => at),
+        WINDOW_MS,
+      ),
+      `most runs of seed ${SEED}`,
+    ).to.be.at.most(MOST_IN_WINDOW);
   });
 });
-
-function mostInWindow(times: readonly number[]): number {
-  const inOrder = [...times].sort((a, b) => a - b);
-  return Math.max(
-    ...inOrder.map((from, i) => inOrder.filter((at, j) => j >= i && at < from + WINDOW_MS).length),
-  );
-}
--- /dev/null
+++ b/tests/rateLimit.spec.ts
@@ -0,0 +1,225 @@
+import { Admission, RateLimit } from '@cleatquay/admission';
+import { type AnswerNotice, NOTHING_SAID } from '@cleatquay/calls';
+import { ManualClock } from '@cleatquay/clock';
+import { Upstreams } from '@cleatquay/daemon';
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { mostWithin } from './fixtures/windows.js';
+
+const WINDOW_MS = 4000;
+const HEARTBEAT_MS = 1500;
+const naming = (rateLimit: AnswerNotice['rateLimit']): AnswerNotice => ({ ...NOTHING_SAID, rateLimit });
+
+describe('the rate limit of an upstream', () => {
+  let clock: ManualClock;
+
+  beforeEach(() => (clock = new ManualClock()));
+
+  /** Takes what it may at steps of so many ms; gives the times. */
+  const takeAll = (rate: RateLimit, ms: number, stepMs = 5): number[] => {
+    const times: number[] = [];
+    for (const end = clock.now() + ms; clock.now() < end; clock.advance(stepMs)) {
+      while (rate.hasRoom && times.length < 10_000) {
+        rate.take();
+        times.push(clock.now());
+      }
+    }
+    return times;
+  };
+
+  it('lets what it names go, no more in any window than that and half a second of it, whatever happens between', () => {
+    const step = fc.oneof(
+      fc.record({ kind: fc.constant('press' as const), ms: fc.integer({ min: 1, max: 3000 }) }),
+      fc.record({ kind: fc.constant('stand still' as const), ms: fc.integer({ min: 1, max: 20_000 }) }),
+      fc.record({ kind: fc.constant('name' as const), rate: fc.double({ min: 0, max: 50, noNaN: true }) }),
+      fc.record({ kind: fc.constant('tell' as const), rate: fc.double({ min: 0, max: 1e9, noNaN: true }) }),
+    );
+    fc.assert(
+      fc.property(fc.array(step, { maxLength: 30 }), steps => {
+        clock = new ManualClock();
+        const rate = new RateLimit(clock);
+        rate.named(50);
+        const times: number[] = [];
+        for (const s of steps) {
+          if (s.kind === 'press') times.push(...takeAll(rate, s.ms));
+          else if (s.kind === 'stand still') clock.advance(s.ms);
+          else if (s.kind === 'name') rate.named(s.rate);
+          else rate.told(s.rate);
+        }
+        expect(mostWithin(times, WINDOW_MS)).to.be.at.most((50 * (WINDOW_MS + 500)) / 1000 + 1);
+      }),
+    );
+  });
+
+  it('is used up where enough is asked', () => {
+    const rate = new RateLimit(clock);
+    rate.named(18.9);
+    expect(takeAll(rate, 20_000).length).to.be.within(377, 378);
+  });
+
+  it('of almost 0 still lets one request go in time', () => {
+    const rate = new RateLimit(clock);
+    rate.named(0.25);
+    expect(takeAll(rate, 9000)).to.have.length(2);
+  });
+
+  it('is not ended by an answer that was asked for before it was named', () => {
+    const rate = new RateLimit(clock);
+    const askedAt = clock.awake();
+    clock.advance(10);
+    rate.named(5);
+    rate.notNamed(askedAt);
+    expect(rate.perSecond).to.equal(5);
+    clock.advance(10);
+    rate.notNamed(clock.awake());
+    expect(rate.perSecond).to.equal(undefined);
+  });
+
+  it('holds as others tell it until the first answer', () => {
+    const rate = new RateLimit(clock);
+    rate.told(5);
+    expect(rate.perSecond).to.equal(5);
+    rate.notNamed(clock.awake());
+    rate.told(5);
+    expect(rate.perSecond).to.equal(undefined);
+  });
+
+  describe('in the admission', () => {
+    const never = new AbortController().signal;
+    const admission = (maxQueueMs: number) =>
+      new Admission({
+        clock,
+        random: () => 0.5,
+        classes: () => 2,
+        slots: 20,
+        maxQueueMs: () => maxQueueMs,
+        cold: false,
+      });
+
+    it('refuses at once what would wait too long, though slots are free, and says how much runs at once', async () => {
+      using gate = admission(50);
+      gate.rate.named(4);
+      const results = await Promise.all([1, 1.5, 1.9].map(level => gate.request(level, 1000, never)));
+      expect(results.map(result => 'release' in result)).to.deep.equal([false, false, false]);
+      expect(gate.load().limit).to.equal(1);
+      expect(gate.load().admissionLevel).to.equal(1);
+    });
+
+    it('lets what waits go in the order of importance as the rate allows', async () => {
+      using gate = admission(1000);
+      gate.rate.named(4);
+      const order: number[] = [];
+      for (const level of [1.5, 0.5, 1.2])
+        void gate
+          .request(level, 5000, never)
+          .then(result => 'release' in result && order.push(level) && result.release('answered'));
+      for (let i = 0; i < 60; i++) {
+        clock.advance(25);
+        await new Promise(resolve => setImmediate(resolve));
+      }
+      expect(order).to.deep.equal([0.5, 1.2, 1.5]);
+    });
+  });
+
+  describe('beside a daemon', () => {
+    let upstreams: Upstreams;
+    let asked: number;
+    let healthNotice: AnswerNotice | undefined;
+
+    beforeEach(async () => {
+      asked = 0;
+      healthNotice = naming('none');
+      upstreams = new Upstreams({
+        clock,
+        random: () => 0.5,
+        protection: true,
+        heartbeatMs: HEARTBEAT_MS,
+        slowStart: false,
+        classes: () => 1,
+        bounds: () => ({ maxQueueMs: 50 }),
+        checkAddress: () => Promise.resolve(),
+        askNotice: () => {
+          asked++;
+          return Promise.resolve(healthNotice);
+        },
+        onChange: () => undefined,
+        log: () => undefined,
+      });
+      await announce();
+    });
+
+    afterEach(() => upstreams[Symbol.asyncDispose]());
+
+    const announce = (born = 1) =>
+      upstreams.announce({
+        service: 'history',
+        address: '127.0.0.1:1',
+        slots: 2,
+        connections: 2,
+        state: 'ready',
+        warmupLeftMs: 0,
+        sequence: clock.now() + 1,
+        instanceId: 'a',
+        born,
+      });
+    const history = () => upstreams.get('history')!;
+    const answers = (rateLimit: AnswerNotice['rateLimit']) =>
+      history().heard(naming(rateLimit), clock.awake());
+    const perSecond = () => history().admission.rate.perSecond;
+    const pass = async (ms: number) => {
+      for (let i = 0; i < ms; i += 500) {
+        clock.advance(500);
+        await announce();
+        await new Promise(resolve => setImmediate(resolve));
+      }
+    };
+
+    it('is kept while what is named makes no sense', () => {
+      answers(5);
+      answers('unclear');
+      expect(perSecond()).to.equal(5);
+    });
+
+    it('is kept for an upstream that was out and is heard of again, and not for its next start', async () => {
+      answers(5);
+      history().refusedConnection();
+      expect(upstreams.get('history')).to.equal(undefined);
+      await announce();
+      expect(perSecond()).to.equal(5);
+      await announce(2);
+      expect(perSecond()).to.equal(undefined);
+    });
+
+    it('is told to others, and taken from them only where it makes sense', () => {
+      answers(5);
+      expect(history().notice).to.include({ instanceId: 'a', born: 1, requestsPerSecond: 5 });
+      clock.advance(1);
+      answers('none');
+      expect(history().notice).to.equal(undefined);
+      for (const requestsPerSecond of [-1, Number.NaN, Number.POSITIVE_INFINITY])
+        upstreams.told('history', { instanceId: 'a', born: 1, requestsPerSecond });
+      expect(perSecond()).to.equal(undefined);
+    });
+
+    it('of 0 is looked into every few seconds, at the health check first', async () => {
+      healthNotice = naming(0);
+      answers(0);
+      await pass(10_000);
+      expect(asked).to.be.within(3, 4);
+      expect(history().admission.rate.hasRoom).to.equal(false);
+      healthNotice = naming('none');
+      await pass(3000);
+      expect(history().admission.rate.hasRoom).to.equal(true);
+      expect(perSecond()).to.equal(0);
+      healthNotice = naming(7);
+      await pass(3000);
+      expect(perSecond()).to.equal(7);
+    });
+
+    it('that is ordinary is not looked into', async () => {
+      answers(5);
+      await pass(10_000);
+      expect(asked).to.equal(0);
+    });
+  });
+});
--- a/tests/rateLimits.spec.ts
+++ b/tests/rateLimits.spec.ts
@@ -7,6 +7,7 @@
 import { routeTo } from './fixtures/platformFleet.js';
 import { ProcessFleet, type ProcessNode, type ProcessVm } from './fixtures/platformProcesses.js';
 import { SteadyLoad, servedShare } from './fixtures/steadyLoad.js';
+import { mostWithin } from './fixtures/windows.js';
 
 /** Time from the first answer that names a rate until it has to hold, ms. */
 const HOLDS_AFTER_MS = 3000;
@@ -83,8 +84,8 @@
     name(3, 11.3);
     await sleep(HOLDS_AFTER_MS);
     const from = performance.now();
-    for (const { restart } of fleet.nodes.map(n => ({ restart: () => n.restart() }))) {
-      await restart();
+    for (const restarted of fleet.nodes) {
+      await restarted.restart();
       await sleep(500);
     }
     expectKept(0, 18.9, from);
@@ -182,14 +183,3 @@
 function allowedInWindow(rate: number): number {
   return (BORNE_FACTOR * rate * WINDOW_MS) / 1000 + BORNE_REQUESTS;
 }
-
-function mostWithin(times: readonly number[], ms: number): number {
-  const inOrder = [...times].sort((a, b) => a - b);
-  let first = 0;
-  let most = 0;
-  inOrder.forEach((at, last) => {
-    while ((inOrder[first] ?? at) <= at - ms) first++;
-    most = Math.max(most, last - first + 1);
-  });
-  return most;
-}
--- a/tests/retryBudget.spec.ts
+++ b/tests/retryBudget.spec.ts
@@ -100,6 +100,7 @@
       refusal: undefined,
       load: undefined,
       unusedRetryTokens: running.retryTokens,
+      notice: undefined,
     });
   }
 }
@@ -112,6 +113,7 @@
   headers: '',
   fingerprint: '',
   endedStarts: [],
+  notice: undefined,
 };
 const ROUTE: Route = {
   name: 's.run',
--- a/tests/upstreams.spec.ts
+++ b/tests/upstreams.spec.ts
@@ -21,6 +21,7 @@
       classes: () => 1,
       bounds: () => ({ maxQueueMs: 50 }),
       checkAddress: () => Promise.resolve(),
+      askNotice: () => Promise.resolve(undefined),
       onChange: () => undefined,
       log: () => undefined,
     });
