Send no new work to an upstream that says in its answers that it leaves

What upstreams saw: one that said in each of its answers that it leaves went on getting its ordinary share for as long as its heartbeats called it ready: 83 requests in the 2 s after the drain's bound; 14 from daemons that it had told after its own was started again.

Cause: a departure was read from announcements only. Class, as with the rate: what an upstream says in its answers was not heard.

Why this mend holds: the daemon beside the upstream sees each answer, and sends it everything that it gets. From the first that says so the start of the upstream counts as departed, as after an announced leave: refused here as not run, drained in gossip, recorded in the daemon's row, for this start whatever its heartbeats say afterwards, and not for the next one. A process that is started again there learns it from the row, from the health check by which it takes a recorded upstream over, or, where it can read nothing, from those that were told: they tell it with the first request that they send, which it then refuses.

--- a/packages/calls/src/index.ts
+++ b/packages/calls/src/index.ts
@@ -26,6 +26,7 @@
   passedHeaders,
   passedRawHeaders,
 } from './headers.js';
+export { HeardNotices } from './heardNotices.js';
 export { FrameDelays, sentAtOf } from './frameDelays.js';
 export { Home } from './home.js';
 export { type InnerHandlers, InnerServer } from './innerServer.js';
--- a/packages/calls/src/upstreamSide.ts
+++ b/packages/calls/src/upstreamSide.ts
@@ -98,7 +98,7 @@
     const early = this.refuseEarly(context, route, upstream);
     if (early || !context || !route || !upstream) {
       const refusal = early ?? refusalOf('innerMessageInvalid', 'The call has no context.');
-      return answerOf(endOf(refusal, context?.retryTokens ?? 0));
+      return withNotice(answerOf(endOf(refusal, context?.retryTokens ?? 0)), upstream);
     }
     const { quarantine, clock } = this.options;
     for (const start of head.endedStarts) quarantine.endedUnder(head, start);
@@ -380,7 +380,8 @@
   };
 }
 
-function withNotice(answer: CallAnswer, { notice }: LocalUpstream): CallAnswer {
+function withNotice(answer: CallAnswer, upstream: LocalUpstream | undefined): CallAnswer {
+  const notice = upstream?.notice;
   return notice ? { ...answer, first: { ...answer.first, notice } } : answer;
 }
 
--- a/packages/daemon/src/core.ts
+++ b/packages/daemon/src/core.ts
@@ -70,7 +70,7 @@
   readonly log: Logger;
   readonly upstreams: Pick<
     UpstreamsOptions,
-    'protection' | 'heartbeatMs' | 'slowStart' | 'classes' | 'bounds' | 'checkAddress'
+    'protection' | 'heartbeatMs' | 'slowStart' | 'classes' | 'bounds' | 'checkAddress' | 'onDeparture'
   >;
   /** Path of the health check of a service's upstreams; undefined if they have none. */
   readonly healthPath: (service: string) => string | undefined;
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -167,6 +167,7 @@
           checkSameVm(address, settings.ip);
           await checkListening(address);
         },
+        onDeparture: () => undefined,
       },
       healthPath: () => undefined,
       dialect: ownDialect,
--- a/packages/daemon/src/formerUpstreams.ts
+++ b/packages/daemon/src/formerUpstreams.ts
@@ -5,7 +5,7 @@
 import { type UpstreamDialect } from '@cleatquay/calls';
 import { type Clock } from '@cleatquay/clock';
 import { asFailure } from '@cleatquay/errors';
-import { type KnownUpstream } from '@cleatquay/membership';
+import { type Departure, type KnownUpstream } from '@cleatquay/membership';
 import { askHealth } from './upstreamHealth.js';
 import { type Announcement } from './upstreams.js';
 
@@ -17,12 +17,14 @@
   readonly clock: Clock;
   /** How often upstreams announce themselves, ms: after that, their own word has come. */
   readonly heartbeatMs: number;
-  readonly instanceOf: UpstreamDialect['instanceOf'];
+  readonly dialect: Pick<UpstreamDialect, 'instanceOf' | 'noticeOf'>;
   /** Path of the health check of a service; undefined while there is no configuration. */
   readonly healthPath: (service: string) => string | undefined;
   /** Whether an upstream of the service has announced itself to this process. */
   readonly isKnown: (service: string) => boolean;
   readonly announce: (announcement: Announcement) => Promise<void>;
+  /** It is there and says that it leaves. */
+  readonly leave: (departure: Departure) => Promise<void>;
   readonly log: (message: string, facts: object) => void;
 }
 
@@ -35,29 +37,37 @@
 }
 
 async function takeOverOne(upstream: KnownUpstream, options: FormerUpstreamsOptions): Promise<void> {
-  const { isKnown, announce, log } = options;
+  const { isKnown, announce, leave, log } = options;
   const facts = { service: upstream.service, instance: upstream.instanceId };
   try {
-    const isThere = await answersAs(upstream, options);
+    const state = await stateOf(upstream, options);
     if (isKnown(upstream.service)) return;
-    log(
-      isThere ? 'A recorded upstream is still there.' : 'A recorded upstream is not there any more.',
-      facts,
-    );
-    if (isThere) await announce({ ...upstream, state: 'ready', sequence: 0, warmupLeftMs: 0 });
+    log(FOUND[state], facts);
+    if (state === 'there') await announce({ ...upstream, state: 'ready', sequence: 0, warmupLeftMs: 0 });
+    if (state === 'leaving') await leave(upstream);
   } catch (error) {
     log('A recorded upstream was left out.', { ...facts, reason: asFailure(error).describe() });
   }
 }
 
-async function answersAs(
+type FormerState = 'there' | 'leaving' | 'gone';
+
+const FOUND: Record<FormerState, string> = {
+  there: 'A recorded upstream is still there.',
+  leaving: 'A recorded upstream says that it leaves.',
+  gone: 'A recorded upstream is not there any more.',
+};
+
+async function stateOf(
   { service, address, instanceId }: KnownUpstream,
-  { clock, heartbeatMs, instanceOf, healthPath, isKnown }: FormerUpstreamsOptions,
-): Promise<boolean> {
+  { clock, heartbeatMs, dialect, healthPath, isKnown }: FormerUpstreamsOptions,
+): Promise<FormerState> {
   const end = clock.now() + heartbeatMs;
   while (healthPath(service) === undefined && clock.now() < end) await clock.sleep(CONFIGURATION_CHECK_MS);
   const path = healthPath(service);
-  if (path === undefined || isKnown(service)) return false;
+  if (path === undefined || isKnown(service)) return 'gone';
   const { isHealthy, headers } = await askHealth(address, path);
-  return isHealthy && instanceOf(headers) === instanceId;
+  if (dialect.instanceOf(headers) !== instanceId) return 'gone';
+  if (dialect.noticeOf(headers).isLeaving) return 'leaving';
+  return isHealthy ? 'there' : 'gone';
 }
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -275,6 +275,7 @@
         classes: () => this.classes,
         bounds: service => this.boundsOf(service),
         checkAddress: () => Promise.resolve(),
+        onDeparture: () => void this.meeting.record(),
       },
       healthPath: service => this.healthPathOf(service),
       dialect: installation.upstreams,
@@ -352,10 +353,11 @@
     void takeOver(upstreams, {
       clock,
       heartbeatMs: settings.heartbeatMs,
-      instanceOf: installation.upstreams.instanceOf,
+      dialect: installation.upstreams,
       healthPath: service => this.healthPathOf(service),
       isKnown: service => this.upstreams.get(service) !== undefined,
       announce: announcement => this.upstreams.announce(announcement),
+      leave: ({ instanceId, born }) => this.leave(instanceId, born),
       log: (message, facts) => log.info(facts, `Upstreams: ${message}`),
     });
   }
--- a/packages/daemon/src/upstreams.ts
+++ b/packages/daemon/src/upstreams.ts
@@ -53,6 +53,8 @@
   readonly connections: UpstreamConnections;
   isDraining: boolean;
   drainedByOperator: boolean;
+  /** It said in an answer that it leaves. Holds for this start of it, whatever its announcements say. */
+  hasSaidLeaving: boolean;
   readonly noticeLog: NoticeLog;
   readonly slowRate: SlowRate;
   silence: Timer;
@@ -78,6 +80,8 @@
   readonly checkAddress: (address: string) => Promise<void>;
   /** What the health check of an upstream says of it; undefined if it has none. */
   readonly askNotice: (service: string, address: string) => Promise<AnswerNotice | undefined>;
+  /** Told when a start is known to leave, other than by an announcement. */
+  readonly onDeparture: () => void;
   /** Told whenever what the fleet should know has changed. */
   readonly onChange: (upstreams: Upstream[]) => void;
   readonly log: (message: string, facts: object) => void;
@@ -186,7 +190,7 @@
   setDraining(draining: boolean): void {
     for (const upstream of this.byService.values()) {
       upstream.drainedByOperator = draining;
-      upstream.isDraining = draining || this.isLeaving(upstream.announcement);
+      upstream.isDraining = draining || this.isLeaving(upstream);
     }
     this.changed();
   }
@@ -228,7 +232,8 @@
   }
 
   /** A peer has heard what the upstream of a service said to an earlier process here. */
-  told(service: string, { requestsPerSecond }: UpstreamNotice): void {
+  told(service: string, { instanceId, born, requestsPerSecond, isLeaving }: UpstreamNotice): void {
+    if (isLeaving && instanceId !== '' && Number.isSafeInteger(born)) this.depart({ instanceId, born });
     if (requestsPerSecond === undefined || !isRate(requestsPerSecond)) return;
     const upstream = this.byService.get(service);
     upstream?.admission.rate.told(requestsPerSecond);
@@ -273,8 +278,9 @@
       instanceId,
       start,
       address,
-      isDraining: this.isLeaving(announcement),
+      isDraining: this.isDeparture(announcement),
       drainedByOperator: false,
+      hasSaidLeaving: false,
       noticeLog: new NoticeLog(clock, this.options.log),
       slowRate: new SlowRate({
         clock,
@@ -319,6 +325,18 @@
       upstream.slowRate.check();
     } else if (rateLimit === 'none') rate.notNamed(askedAt);
     upstream.noticeLog.heard(notice, { service, instanceId });
+    if (notice.isLeaving && !upstream.hasSaidLeaving) this.saidLeaving(upstream);
+  }
+
+  private saidLeaving(upstream: Announced): void {
+    const { instanceId, born } = upstream.announcement;
+    upstream.hasSaidLeaving = true;
+    this.setState(upstream, true);
+    if (instanceId !== '') this.depart({ instanceId, born });
+  }
+
+  private depart({ instanceId, born }: Departure): void {
+    if (this.leave(instanceId, born)) this.options.onDeparture();
   }
 
   /** A late announcement says nothing new; one that left stays so. */
@@ -330,7 +348,7 @@
     known.announcement = announcement;
     known.admission.limit.announce(this.slotsOf(announcement));
     if (announcement.state === 'draining') this.departed.add(announcement);
-    this.setState(known, this.isLeaving(announcement));
+    this.setState(known, this.isLeaving(known));
   }
 
   private setState(known: Announced, isLeaving: boolean): void {
@@ -343,7 +361,11 @@
     this.changed();
   }
 
-  private isLeaving(announcement: Announcement): boolean {
+  private isLeaving({ announcement, hasSaidLeaving }: Announced): boolean {
+    return hasSaidLeaving || this.isDeparture(announcement);
+  }
+
+  private isDeparture(announcement: Announcement): boolean {
     return announcement.state === 'draining' || this.departed.has(announcement);
   }
 
@@ -387,11 +409,12 @@
 /** Stands for no limit on the plain path. */
 const UNLIMITED_SLOTS = 1_000_000;
 
-function noticeOf({ announcement, admission }: Announced): UpstreamNotice | undefined {
-  const { perSecond } = admission.rate;
-  if (perSecond === undefined) return undefined;
-  const { instanceId, born } = announcement;
-  return { instanceId, born, requestsPerSecond: perSecond };
+function noticeOf(upstream: Announced): UpstreamNotice | undefined {
+  const { perSecond } = upstream.admission.rate;
+  const isLeaving = upstream.isDraining && !upstream.drainedByOperator;
+  if (perSecond === undefined && !isLeaving) return undefined;
+  const { instanceId, born } = upstream.announcement;
+  return { instanceId, born, requestsPerSecond: perSecond, isLeaving };
 }
 
 function isSame(a: Announcement, b: Announcement): boolean {
--- a/tests/headTemplates.spec.ts
+++ b/tests/headTemplates.spec.ts
@@ -45,7 +45,7 @@
       headers: fc.constantFrom('', 'Host\na\n', 'Host\nb\n'),
       fingerprint: fc.constantFrom('', '0123456789abcdef'),
       endedStarts: fc.array(fc.constantFrom('a@1', 'b@1'), { maxLength: 2 }),
-      notice: fc.constantFrom(undefined, { instanceId: 'a', born: 1, requestsPerSecond: 0 }),
+      notice: fc.constantFrom(undefined, { instanceId: 'a', born: 1, requestsPerSecond: 0, isLeaving: true }),
       context: fc.record({
         ...Object.fromEntries(
           Object.entries(CALL_CONTEXT).map(([name, value]) => [name, fc.constant(value)]),
--- a/tests/leavingAnswers.spec.ts
+++ b/tests/leavingAnswers.spec.ts
@@ -12,6 +12,7 @@
 const DRAIN_MS = 2000;
 const PER_SECOND = 240;
 const WORK_MS = 30;
+const LONG_WORK_MS = 400;
 const CALM_MS = 1500;
 const SUSPENDED_MS = 1500;
 const LEAVING = [0, 3];
@@ -51,7 +52,7 @@
     const toldAt = new Map<number, number>();
     return arrivalsAt(index, from).flatMap(({ requestId, at }) => {
       const request = sent.get(requestId)!;
-      const told = toldAt.get(request.node) ?? at + WORK_MS;
+      const told = toldAt.get(request.node) ?? at + node(index).upstream.behaviour.workMs;
       toldAt.set(request.node, told);
       return request.at > told + DRAIN_MS ? [request] : [];
     });
@@ -69,6 +70,14 @@
   });
 
   it('gets nothing more from those that it told, after its daemon was started again and can read nothing', async () => {
+    await fleet[Symbol.asyncDispose]();
+    // All ask all, and have much under way: all are told.
+    fleet = await ProcessFleet.start(
+      VMS.map(vm => ({ ...vm, failureDomain: 'z1' })),
+      [routeTo('history')],
+    );
+    for (const { upstream } of fleet.nodes) upstream.behaviour.workMs = LONG_WORK_MS;
+    await fleet.calm();
     await using load = startLoad();
     await sleep(CALM_MS);
     for (const index of LEAVING) node(index).proxy.reset();
--- a/tests/rateLimit.spec.ts
+++ b/tests/rateLimit.spec.ts
@@ -142,6 +142,7 @@
           asked++;
           return Promise.resolve(healthNotice);
         },
+        onDeparture: () => undefined,
         onChange: () => undefined,
         log: () => undefined,
       });
@@ -197,7 +198,7 @@
       answers('none');
       expect(history().notice).to.equal(undefined);
       for (const requestsPerSecond of [-1, Number.NaN, Number.POSITIVE_INFINITY])
-        upstreams.told('history', { instanceId: 'a', born: 1, requestsPerSecond });
+        upstreams.told('history', { instanceId: 'a', born: 1, requestsPerSecond, isLeaving: false });
       expect(perSecond()).to.equal(undefined);
     });
 
--- a/tests/rateLimits.spec.ts
+++ b/tests/rateLimits.spec.ts
@@ -17,6 +17,9 @@
 const MEASURED_MS = 7000;
 const PER_SECOND = 240;
 const WORK_MS = 30;
+/** So long that many requests come until one is answered. */
+const LONG_WORK_MS = 800;
+const FEW_PER_SECOND = 120;
 const SUSPENDED_MS = 2500;
 /** Of what the upstreams take together, so much is served when all of them name a rate. */
 const USED_SHARE = 0.85;
@@ -28,6 +31,7 @@
   service: 'history',
   failureDomain,
 }));
+const ONE_DOMAIN: ProcessVm[] = VMS.map(vm => ({ ...vm, failureDomain: 'z1' }));
 const URGENT = 'urgent.example';
 const OTHER = 'history.example';
 const ROUTES = [
@@ -49,11 +53,18 @@
 
   afterEach(() => fleet[Symbol.asyncDispose]());
 
+  /** Another fleet, in which all daemons ask all upstreams. */
+  const startInOneDomain = async () => {
+    await fleet[Symbol.asyncDispose]();
+    fleet = await ProcessFleet.start(ONE_DOMAIN, ROUTES);
+    for (const { upstream } of fleet.nodes) upstream.behaviour.workMs = LONG_WORK_MS;
+    await fleet.calm();
+  };
   const node = (index: number): ProcessNode => fleet.nodes[index]!;
   const name = (index: number, rate: number | string | string[] | undefined) => {
     node(index).upstream.behaviour.rateLimit = typeof rate === 'number' ? String(rate) : rate;
   };
-  const startLoad = () => new SteadyLoad(fleet, { perSecond: PER_SECOND, hosts: HOSTS });
+  const startLoad = (perSecond = PER_SECOND) => new SteadyLoad(fleet, { perSecond, hosts: HOSTS });
   const arrivalsSince = (index: number, from: number) =>
     node(index)
       .upstream.arrivals.map(({ at }) => at)
@@ -93,6 +104,23 @@
     expect(load.requests.length).to.be.above(0);
   });
 
+  it('gets no more than that from daemons that it told, while its own is killed and started again in series', async () => {
+    await startInOneDomain();
+    await using load = startLoad(FEW_PER_SECOND);
+    await sleep(CALM_MS);
+    name(0, 1);
+    await sleep(HOLDS_AFTER_MS);
+    const from = performance.now();
+    for (let i = 0; i < 3; i++) {
+      await node(0).restart();
+      await sleep(2 * LONG_WORK_MS);
+    }
+    const own = new Set(load.requests.filter(request => request.node === 0).map(({ id }) => id));
+    const others = node(0).upstream.arrivals.filter(({ requestId, at }) => at >= from && !own.has(requestId));
+    const times = others.map(({ at }) => at);
+    expect(mostWithin(times, WINDOW_MS)).to.be.at.most(allowedInWindow(1));
+  });
+
   it('gets no burst after its daemon was suspended', async () => {
     await using load = startLoad();
     name(0, 18.9);
--- a/tests/upstreams.spec.ts
+++ b/tests/upstreams.spec.ts
@@ -1,3 +1,4 @@
+import { type AnswerNotice } from '@cleatquay/calls';
 import { ManualClock } from '@cleatquay/clock';
 import { type Announcement, Upstreams } from '@cleatquay/daemon';
 import { expect } from 'chai';
@@ -8,10 +9,12 @@
   let clock: ManualClock;
   let upstreams: Upstreams;
   let sequence: number;
+  let departures: number;
 
   beforeEach(() => {
     clock = new ManualClock();
     sequence = 0;
+    departures = 0;
     upstreams = new Upstreams({
       clock,
       random: () => 0.5,
@@ -22,6 +25,7 @@
       bounds: () => ({ maxQueueMs: 50 }),
       checkAddress: () => Promise.resolve(),
       askNotice: () => Promise.resolve(undefined),
+      onDeparture: () => void departures++,
       onChange: () => undefined,
       log: () => undefined,
     });
@@ -113,4 +117,74 @@
       expect(known()).to.deep.equal(['history second']);
     });
   });
+
+  describe('an upstream that says in an answer that it leaves', () => {
+    const LEAVING: AnswerNotice = { rateLimit: 'none', isLeaving: true };
+    const say = () => upstreams.get('history')!.heard(LEAVING, clock.awake());
+    const isDraining = () => upstreams.get('history')!.isDraining;
+
+    it('is leaving for as long as it lives, whatever its heartbeats and the operators say, and is recorded once', async () => {
+      await beat('a', { born: 1 });
+      say();
+      say();
+      expect(isDraining()).to.equal(true);
+      await beat('a', { born: 1 });
+      upstreams.setDraining(true);
+      upstreams.setDraining(false);
+      expect(isDraining()).to.equal(true);
+      expect(upstreams.departures).to.deep.equal([{ instanceId: 'a', born: 1 }]);
+      expect(departures).to.equal(1);
+    });
+
+    it('is leaving also when it was out meanwhile, and its next start is not', async () => {
+      await beat('a', { born: 1 });
+      say();
+      upstreams.get('history')!.refusedConnection();
+      await beat('a', { born: 1 });
+      expect(upstreams.get('history')?.isDraining ?? true).to.equal(true);
+      await beat('a', { born: 2, sequence: 1 });
+      expect(isDraining()).to.equal(false);
+    });
+
+    it('is leaving without a name, too', async () => {
+      await beat('');
+      say();
+      await beat('');
+      expect(isDraining()).to.equal(true);
+      expect(upstreams.departures).to.deep.equal([]);
+    });
+
+    it('is known to leave where a peer says so, before it announces itself', async () => {
+      upstreams.told('history', {
+        instanceId: 'a',
+        born: 1,
+        requestsPerSecond: undefined,
+        isLeaving: true,
+      });
+      expect(departures).to.equal(1);
+      await beat('a', { born: 1 });
+      expect(upstreams.get('history')).to.equal(undefined);
+    });
+
+    it('tells peers so, and one that operators drain does not', async () => {
+      await beat('a', { born: 1 });
+      upstreams.setDraining(true);
+      expect(upstreams.get('history')!.notice).to.equal(undefined);
+      upstreams.setDraining(false);
+      say();
+      expect(upstreams.get('history')!.notice).to.include({ instanceId: 'a', born: 1, isLeaving: true });
+    });
+
+    it('is not believed of a start that makes no sense', async () => {
+      for (const born of [Number.NaN, 1.5, Number.POSITIVE_INFINITY])
+        upstreams.told('history', {
+          instanceId: 'a',
+          born,
+          requestsPerSecond: undefined,
+          isLeaving: true,
+        });
+      await beat('a', { born: 1 });
+      expect(isDraining()).to.equal(false);
+    });
+  });
 });
