Show operators the rate that an upstream names, and hold both rules in our own interface

Cause: the two rules were shown on the platform's interface only, and no command showed a rate.

Change: `cleatquay status` has a column for the rate; the stand-in upstream of our own interface can name one and say that it leaves (cleatquay-rate-limit, cleatquay-leaving).

--- a/packages/cli/src/fleetCommands.ts
+++ b/packages/cli/src/fleetCommands.ts
@@ -30,6 +30,8 @@
   readonly upstreams: {
     service: string;
     draining: boolean;
+    /** Requests a second that it names; left out while it names none. */
+    rateLimit?: number;
     load: { inFlight: number; queued: number; limit: number; admissionLevel: number };
   }[];
   readonly members: MemberStatus[];
@@ -69,6 +71,7 @@
       'queued',
       'limit',
       'level',
+      'rate limit',
     ];
     return table(
       head,
@@ -202,8 +205,8 @@
   const state = upstream?.draining ? 'draining' : member.state.toLowerCase();
   const load = upstream?.load;
   const numbers = load
-    ? [load.inFlight, load.queued, load.limit, load.admissionLevel.toFixed(2)]
-    : ['', '', '', ''];
+    ? [load.inFlight, load.queued, load.limit, load.admissionLevel.toFixed(2), upstream.rateLimit ?? 'none']
+    : ['', '', '', '', ''];
   return [
     member.address,
     member.failureDomain,
--- a/packages/standins/src/upstreamStandin.ts
+++ b/packages/standins/src/upstreamStandin.ts
@@ -45,6 +45,10 @@
   draining: boolean;
   /** Announced slots; 0 tells the truth. */
   claimedSlots: number;
+  /** What it names in all its answers as the requests a second that it takes; nothing if empty. */
+  rateLimit: string;
+  /** Says in all its answers that it leaves, whatever it announces. */
+  saysLeaving: boolean;
 }
 
 const DEFAULTS: UpstreamBehaviour = {
@@ -57,6 +61,8 @@
   slowFactor: 1,
   draining: false,
   claimedSlots: 0,
+  rateLimit: '',
+  saysLeaving: false,
 };
 
 /** One request being run. */
@@ -141,6 +147,7 @@
     const path = request.url ?? '/';
     if (path.startsWith('/_')) return this.control(path, request, response);
     const route = this.graph.find(this.identity.service, request.method ?? 'GET', path);
+    this.say(response);
     if (!route) return end(response, 404, { error: 'no such route' });
     if (this.slots.waiting >= this.behaviour.backlog) return end(response, 503, { error: 'shed' });
     const gone = new AbortController();
@@ -156,6 +163,13 @@
     }
   }
 
+  /** What it says of itself in each answer. */
+  private say(response: ServerResponse): void {
+    const { rateLimit, saysLeaving } = this.behaviour;
+    if (rateLimit !== '') response.setHeader('cleatquay-rate-limit', rateLimit);
+    if (saysLeaving) response.setHeader('cleatquay-leaving', '1');
+  }
+
   private async run({ route, request, response, token, requestId, gone }: Job): Promise<void> {
     const done = this.ledger.started({ token, route: route.name, requestId });
     const received = await lengthOf(request);
