Bound what is under way to an upstream with a rate limit, and look at once into a rate that only others have heard of

Cause, found by reading: what a daemon has given to an upstream that stands still arrives at once when that goes on; with 89 slots and a rate of 18.9 that could be 75 requests beside those of the window. And a daemon that was started again and told a rate of 0, which may be long over, waited 2.5 s for its first look. Neither was seen to happen.

Change: two seconds of the rate may be under way, one request at least; a told rate below one in two seconds is looked into at once.

Measured: rateLimit.spec.ts, two tests more. At latencies below two seconds the first bound changes nothing.

--- a/packages/admission/src/admission.ts
+++ b/packages/admission/src/admission.ts
@@ -101,7 +101,7 @@
   }
 
   private get hasRoom(): boolean {
-    return this.inFlight < this.limit.value && this.rate.hasRoom;
+    return this.inFlight < Math.min(this.limit.value, this.rate.mostUnderWay) && this.rate.hasRoom;
   }
 
   /** How many requests run at once at the rate that the upstream names, at least one (Little's law). */
--- a/packages/admission/src/rateLimit.ts
+++ b/packages/admission/src/rateLimit.ts
@@ -11,6 +11,11 @@
  * which nothing was asked, or in which this process stood still.
  */
 const BURST_MS = 500;
+/**
+ * Requests that may be under way, as time at the rate, ms. An upstream that stands still takes all of them at once when
+ * it goes on.
+ */
+const UNDER_WAY_MS = 2000;
 const MS_A_SECOND = 1000;
 
 /** The rate limit of one start of an upstream. */
@@ -62,6 +67,12 @@
     return this.tokens >= 1;
   }
 
+  /** Requests that may be under way at once. */
+  get mostUnderWay(): number {
+    if (this.rate === undefined) return Number.POSITIVE_INFINITY;
+    return Math.max(1, Math.ceil((this.rate * UNDER_WAY_MS) / MS_A_SECOND));
+  }
+
   /** A request goes. */
   take(): void {
     if (this.rate !== undefined) this.tokens--;
--- a/packages/daemon/src/upstreams.ts
+++ b/packages/daemon/src/upstreams.ts
@@ -237,7 +237,7 @@
     if (requestsPerSecond === undefined || !isRate(requestsPerSecond)) return;
     const upstream = this.byService.get(service);
     upstream?.admission.rate.told(requestsPerSecond);
-    upstream?.slowRate.check();
+    upstream?.slowRate.check('others');
   }
 
   /** The lowest rate that an upstream here names; undefined if none does. */
--- a/tests/rateLimit.spec.ts
+++ b/tests/rateLimit.spec.ts
@@ -105,6 +105,18 @@
       expect(gate.load().admissionLevel).to.equal(1);
     });
 
+    it('lets no more than two seconds of it be under way, though the upstream stands still', async () => {
+      using gate = admission(50);
+      gate.rate.named(4);
+      let running = 0;
+      for (let i = 0; i < 200; i++) {
+        void gate.request(0.5, 60_000, never).then(result => 'release' in result && running++);
+        clock.advance(50);
+        await new Promise(resolve => setImmediate(resolve));
+      }
+      expect(running).to.equal(8);
+    });
+
     it('lets what waits go in the order of importance as the rate allows', async () => {
       using gate = admission(1000);
       gate.rate.named(4);
@@ -217,6 +229,13 @@
       expect(perSecond()).to.equal(7);
     });
 
+    it('of 0 that only others have heard of is looked into at once', async () => {
+      upstreams.told('history', { instanceId: 'a', born: 1, requestsPerSecond: 0, isLeaving: false });
+      await pass(500);
+      expect(asked).to.equal(1);
+      expect(history().admission.rate.hasRoom).to.equal(true);
+    });
+
     it('that is ordinary is not looked into', async () => {
       answers(5);
       await pass(10_000);
