Give announcements a module of their own, and move figures out of comments

Change: announcement.ts holds the shape of an announcement, its check, and the name of the start that it is of; three comments say why in a few words.

--- a/packages/calls/src/upstreamSide.ts
+++ b/packages/calls/src/upstreamSide.ts
@@ -360,7 +360,7 @@
   }
 }
 
-/** A second is about how long a full upstream takes to get through its backlog (brief: queues of 60 to 72, 90 ms). */
+/** About as long as a full upstream takes to get through its backlog. */
 const SHED_MORE = { elsewhereHelps: true, retryAfterMs: 1000 };
 
 /** A signal that aborts when the sender does or the time is up, and its reason tells which. */
--- a/packages/daemon/src/formerUpstreams.ts
+++ b/packages/daemon/src/formerUpstreams.ts
@@ -7,7 +7,7 @@
 import { asFailure } from '@cleatquay/errors';
 import { type Departure, type KnownUpstream } from '@cleatquay/membership';
 import { askHealth } from './upstreamHealth.js';
-import { type Announcement } from './upstreams.js';
+import { type Announcement } from './announcement.js';
 
 /** A look whether there is a configuration, which tells the path of the health check, ms. */
 const CONFIGURATION_CHECK_MS = 25;
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -6,5 +6,6 @@
 export { type CallerDialect, RelayGateway } from './relayGateway.js';
 export { PressureLog } from './pressureLog.js';
 export { type RelaySettings } from './relaySettings.js';
-export { Upstreams, type Announcement } from './upstreams.js';
+export { type Announcement } from './announcement.js';
+export { Upstreams } from './upstreams.js';
 export { Readers } from './readers.js';
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -43,7 +43,8 @@
 import { type RelayReportParts, relayDump, relayStatus } from './relayReport.js';
 import { type RelaySettings } from './relaySettings.js';
 import { addUpstreamGauges } from './upstreamGauges.js';
-import { type Announcement, type UpstreamBounds, type Upstreams } from './upstreams.js';
+import { type Announcement } from './announcement.js';
+import { type UpstreamBounds, type Upstreams } from './upstreams.js';
 
 /** How long tries that may run only once are remembered, ms: longer than any caller waits for one. */
 const MEMORY_MS = 60_000;
--- a/packages/daemon/src/upstreamHealth.ts
+++ b/packages/daemon/src/upstreamHealth.ts
@@ -2,7 +2,7 @@
 import { type IncomingHttpHeaders } from 'node:http';
 import { request } from 'undici';
 
-/** A health check that takes longer isn't waited for, ms: it takes about 6 on an idle upstream (brief). */
+/** A health check that takes longer isn't waited for, ms: an upstream that has room answers much sooner. */
 const HEALTH_TIMEOUT_MS = 500;
 const HEALTHY = 200;
 
--- a/packages/daemon/src/upstreams.ts
+++ b/packages/daemon/src/upstreams.ts
@@ -4,9 +4,7 @@
 import { type Clock, type Random, type Timer } from '@cleatquay/clock';
 import { type Departure, type KnownUpstream } from '@cleatquay/membership';
 import { type Upstream, type UpstreamNotice } from '@cleatquay/protocol';
-import { check } from '@cleatquay/settings';
-import { type Static, Type } from '@sinclair/typebox';
-import { createHash } from 'node:crypto';
+import { type Announcement, checkAnnouncement, isSameStart, startOf } from './announcement.js';
 import { NoticeLog } from './noticeLog.js';
 import { RateLimits } from './rateLimits.js';
 import { SlowRate } from './slowRates.js';
@@ -20,33 +18,9 @@
  */
 const SILENT_HEARTBEATS = 2;
 
-/** Characters of an upstream's name in that of a start of it. */
-const LONGEST_NAME = 40;
 /** A timer may go off so much early, ms. */
 const TIMER_MARGIN_MS = 2;
 
-const AnnouncementSchema = Type.Object(
-  {
-    service: Type.String({ minLength: 1 }),
-    address: Type.String({ pattern: '^[\\d.]{7,15}:\\d{1,5}$' }),
-    slots: Type.Integer({ minimum: 1, maximum: 100_000 }),
-    connections: Type.Integer({ minimum: 1, maximum: 100_000 }),
-    state: Type.Union([Type.Literal('ready'), Type.Literal('draining')], { default: 'ready' }),
-    instanceId: Type.String({ default: '', description: 'names the upstream' }),
-    born: Type.Integer({
-      minimum: 0,
-      default: 0,
-      description: 'when it was started, Unix ms; another start may have the same id; 0 if it does not tell',
-    }),
-    sequence: Type.Integer({ minimum: 0, default: 0, description: 'rises with each announcement' }),
-    warmupLeftMs: Type.Number({ minimum: 0, default: 0, description: 'how much longer it is slow' }),
-  },
-  { additionalProperties: false },
-);
-
-/** What an upstream says of itself, and renews every second. */
-export type Announcement = Static<typeof AnnouncementSchema>;
-
 interface Announced extends LocalUpstream, AsyncDisposable {
   announcement: Announcement;
   readonly admission: Admission;
@@ -114,9 +88,9 @@
 
   /** Takes an announcement, or fails saying what is wrong with it. */
   async announce(data: unknown): Promise<void> {
-    const announcement = check(AnnouncementSchema, data, 'announcementInvalid');
+    const announcement = checkAnnouncement(data);
     const known = this.byService.get(announcement.service);
-    if (known && isSame(known.announcement, announcement)) return this.renew(known, announcement);
+    if (known && isSameStart(known.announcement, announcement)) return this.renew(known, announcement);
     if (this.heard.hasLater(announcement)) return;
     if (this.departed.has(announcement)) return;
     if (this.isHeldUp(announcement)) return;
@@ -258,7 +232,7 @@
   private add(announcement: Announcement): void {
     const { clock, random, protection, slowStart, classes, bounds } = this.options;
     const { service, address, instanceId } = announcement;
-    const start = this.startOf(announcement);
+    const start = startOf(announcement, clock.date());
     const admission = new Admission({
       clock,
       random,
@@ -308,12 +282,6 @@
     this.changed();
   }
 
-  /** An upstream that doesn't name itself is told apart by its address, and by when it was first heard of. */
-  private startOf({ instanceId, born, address }: Announcement): string {
-    if (instanceId === '') return `${address}@${String(this.options.clock.date().getTime())}`;
-    return `${shortened(instanceId)}@${String(born)}`;
-  }
-
   private heardNotice(upstream: Announced, notice: AnswerNotice, askedAt: number): void {
     const { service, instanceId } = upstream.announcement;
     const { rateLimit } = notice;
@@ -416,13 +384,3 @@
   const { instanceId, born } = upstream.announcement;
   return { instanceId, born, requestsPerSecond: perSecond, isLeaving };
 }
-
-function isSame(a: Announcement, b: Announcement): boolean {
-  return a.address === b.address && a.instanceId === b.instanceId && a.born === b.born;
-}
-
-/** A long name by its digest: daemons tell each other of starts in datagrams. */
-function shortened(instanceId: string): string {
-  if (instanceId.length <= LONGEST_NAME) return instanceId;
-  return createHash('sha256').update(instanceId).digest('hex').slice(0, LONGEST_NAME);
-}
