--- a/tests/rateLimit.spec.ts
+++ b/tests/rateLimit.spec.ts
@@ -1,9 +1,10 @@
 import { Admission, RateLimit } from '@cleatquay/admission';
 import { type AnswerNotice, NOTHING_SAID } from '@cleatquay/calls';
-import { ManualClock } from '@cleatquay/clock';
+import { ManualClock, SystemClock } from '@cleatquay/clock';
 import { Upstreams } from '@cleatquay/daemon';
 import { expect } from 'chai';
 import fc from 'fast-check';
+import { SuspendableTime } from './fixtures/suspendableTime.js';
 import { mostWithin } from './fixtures/windows.js';
 
 const WINDOW_MS = 4000;
@@ -51,6 +52,19 @@
     );
   });
 
+  it('gains half a second at most by any time that goes by, and nothing by a suspension of its VM or a step of the time of day', () => {
+    const time = new SuspendableTime();
+    const rate = new RateLimit(new SystemClock(time));
+    rate.named(10);
+    time.suspend(60_000);
+    time.step(60_000);
+    expect(rate.hasRoom).to.equal(false);
+    time.pass(60_000);
+    let taken = 0;
+    for (; rate.hasRoom; taken++) rate.take();
+    expect(taken).to.equal(5);
+  });
+
   it('is used up where enough is asked', () => {
     const rate = new RateLimit(clock);
     rate.named(18.9);
--- a/tests/upstreamNotices.spec.ts
+++ b/tests/upstreamNotices.spec.ts
@@ -8,6 +8,8 @@
 const HOLDS_AFTER_MS = 1500;
 const MEASURED_MS = 3000;
 const CALLERS = 8;
+const CUTS = 3;
+const CUT_MS = 700;
 
 describe('what upstreams say of themselves in our own interface', () => {
   let fleet: Fleet;
@@ -62,6 +64,21 @@
     expect(status()).to.match(new RegExp(`${said.addresses.inner}.* 5 *$`, 'm'));
   });
 
+  it('a rate is kept to while those that ask are cut off from it and back, in series', async () => {
+    await beside(async () => {
+      await fleet.behave(said, { rateLimit: '5' });
+      await sleep(HOLDS_AFTER_MS);
+      const before = runs();
+      for (let i = 0; i < CUTS; i++) {
+        await fleet.cut(entry, [said]);
+        await sleep(CUT_MS);
+        await fleet.cut(entry, []);
+        await sleep(CUT_MS);
+      }
+      expect(runs() - before).to.be.within(1, (5 * (2 * CUTS * CUT_MS + 500)) / 1000 + 2);
+    });
+  });
+
   it('a leave is kept to while announcements say ready, and costs no caller an answer', async () => {
     const outcomes = await beside(async () => {
       await fleet.behave(said, { saysLeaving: true });
