--- /dev/null
+++ b/packages/daemon/src/configurationUpdater.ts
@@ -0,0 +1,101 @@
+/**
+ * Keeps the configuration of a daemon for unmodified callers up to date: from the platform if the daemon is one of the few platform readers,
+ * otherwise from its peers.
+ */
+import { type Clock, type Random } from '@cleatquay/clock';
+import {
+  type Configuration,
+  ConfigurationDistribution,
+  type ConfigurationSource,
+  ConfigurationWatcher,
+  type Freshness,
+} from '@cleatquay/configuration';
+import { type KnownConfiguration, type Membership } from '@cleatquay/membership';
+import { type ConfigurationAnswer, type ConfigurationRequest } from '@cleatquay/protocol';
+import { type Logger } from 'pino';
+import { logDigestMismatch, logPeerFetchFailure } from './adoptionLog.js';
+import { PlatformReaders } from './platformReaders.js';
+import { type ProofRenewer } from './proofRenewer.js';
+
+/** Dependencies of the updater. */
+export interface ConfigurationUpdaterOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly configuration: Configuration<unknown>;
+  readonly freshness: Freshness;
+  readonly source: ConfigurationSource;
+  readonly membership: Membership;
+  readonly failureDomain: string;
+  /** Undefined if no API keys depend on recent proofs. */
+  readonly proofRenewer: ProofRenewer | undefined;
+  /** Fetches from a peer what the configuration of this daemon lacks. */
+  readonly fetch: (peer: string, request: ConfigurationRequest) => Promise<ConfigurationAnswer>;
+  readonly log: Logger;
+}
+
+/** Adopts each new version until disposed of. */
+export class ConfigurationUpdater implements AsyncDisposable {
+  readonly readers: PlatformReaders;
+  private readonly watcher: ConfigurationWatcher;
+  private readonly distribution: ConfigurationDistribution;
+
+  constructor(private readonly options: ConfigurationUpdaterOptions) {
+    const { clock, membership, failureDomain } = options;
+    this.readers = new PlatformReaders(clock, membership, failureDomain);
+    this.watcher = this.createWatcher();
+    this.distribution = this.createDistribution();
+  }
+
+  /** Starts to read the platform, once the membership has started. */
+  start(): void {
+    this.watcher.start();
+  }
+
+  /** Handles a peer's announcement of its configuration. */
+  handleAnnouncement(announced: KnownConfiguration, peer: string): void {
+    this.distribution.handleAnnouncement(announced, peer);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.watcher[Symbol.asyncDispose]();
+    await this.distribution[Symbol.asyncDispose]();
+  }
+
+  private createWatcher(): ConfigurationWatcher {
+    const { clock, configuration, source, freshness, membership, proofRenewer, log } = this.options;
+    return new ConfigurationWatcher({
+      clock,
+      configuration,
+      source,
+      freshness,
+      mustReadPlatform: () => this.readers.mustReadPlatform,
+      waitMs: isFirst =>
+        Math.min(this.readers.waitMs(isFirst), proofRenewer?.maxWaitMs ?? Number.POSITIVE_INFINITY),
+      readIntervalMs: () => proofRenewer?.readIntervalMs,
+      retryDelayMs: () => this.readers.retryDelayMs,
+      onReachability: isReachable => membership.setPlatformLost(!isReachable),
+      log: (message, facts) => log.info(facts, `Configuration: ${message}`),
+    });
+  }
+
+  private createDistribution(): ConfigurationDistribution {
+    const { clock, random, configuration, freshness, fetch, log } = this.options;
+    return new ConfigurationDistribution({
+      clock,
+      random,
+      configuration,
+      freshness,
+      store: undefined,
+      isReader: () => false,
+      onReachability: () => undefined,
+      fetchDelayMs: peer => this.readers.fetchDelayMs(peer),
+      fetch,
+      fetchOrder: candidates => this.readers.fetchOrder(candidates),
+      onPeerFailure: (peer, reason) => logPeerFetchFailure(log, peer, reason),
+      onDigestMismatch: peer => {
+        logDigestMismatch(log, configuration, peer);
+        this.watcher.onDigestMismatch();
+      },
+    });
+  }
+}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -8,4 +8,5 @@
 export { type RelaySettings } from './relaySettings.js';
 export { type Announcement } from './announcement.js';
 export { Upstreams } from './upstreams.js';
+export { ConfigurationUpdater } from './configurationUpdater.js';
 export { PlatformReaders } from './platformReaders.js';
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -14,8 +14,6 @@
   type Adoption,
   Configuration,
   type ConfigurationSource,
-  ConfigurationDistribution,
-  ConfigurationWatcher,
   type Sections,
 } from '@cleatquay/configuration';
 import { Failure } from '@cleatquay/errors';
@@ -31,7 +29,8 @@
 import { type ServiceBroker } from 'moleculer';
 import { createServer } from 'node:http';
 import { type Logger } from 'pino';
-import { logAdoption, logDigestMismatch, logPeerFetchFailure } from './adoptionLog.js';
+import { logAdoption } from './adoptionLog.js';
+import { ConfigurationUpdater } from './configurationUpdater.js';
 import { DaemonCore } from './daemonCore.js';
 import { restoreUpstreams } from './restoreUpstreams.js';
 import { HttpListeners, type Listener, listenAddress, serverOf, startServers } from './httpListeners.js';
@@ -41,7 +40,6 @@
 import { type CallerDialect, RelayGateway } from './relayGateway.js';
 import { addQuarantineGauges } from './quarantineGauges.js';
 import { PressureLog } from './pressureLog.js';
-import { PlatformReaders } from './platformReaders.js';
 import { addOrganisationGauges } from './organisationGauges.js';
 import { OrganisationServices } from './organisationServices.js';
 import { addRelayGauges } from './relayGauges.js';
@@ -104,10 +102,8 @@
   /** Set once the daemon listens for its peers. */
   private core!: DaemonCore;
   private ingress!: Relay;
-  private readers!: PlatformReaders;
+  private updater!: ConfigurationUpdater;
   private discovery!: PeerDiscovery;
-  private watcher!: ConfigurationWatcher;
-  private distribution!: ConfigurationDistribution;
   private readonly listeners = new HttpListeners(this.broker);
   private inFlight = 0;
   /** Number of priority classes of the active configuration. */
@@ -168,10 +164,8 @@
     daemon.core = await daemon.startCore();
     daemon.organisations.connect(daemon.membership);
     daemon.ingress = daemon.createIngress();
-    daemon.readers = new PlatformReaders(options.clock, daemon.membership, options.settings.failureDomain);
+    daemon.updater = daemon.createUpdater();
     daemon.discovery = daemon.createDiscovery();
-    daemon.watcher = daemon.createWatcher();
-    daemon.distribution = daemon.createDistribution();
     addQuarantineGauges(daemon.metrics, daemon.core.quarantine);
     addRelayGauges(daemon.metrics, daemon);
     addOrganisationGauges(daemon.metrics, daemon.organisations);
@@ -256,10 +250,9 @@
     // Requests still in flight have used up the grace period; a server that closes would wait for them.
     this.listeners.closeConnections();
     await this.broker.stop();
-    await this.watcher[Symbol.asyncDispose]();
+    await this.updater[Symbol.asyncDispose]();
     await this.organisations[Symbol.asyncDispose]();
     await this.discovery[Symbol.asyncDispose]();
-    await this.distribution[Symbol.asyncDispose]();
     await this.core[Symbol.asyncDispose]();
   }
 
@@ -305,7 +298,7 @@
       createConfigurationResponse: request => this.configuration.createResponse(request),
       freshness: this.organisations.freshness,
       quotas: this.organisations.quotaHandlers,
-      onPeerConfiguration: (reported, peer) => this.distribution.handleAnnouncement(reported, peer),
+      onPeerConfiguration: (reported, peer) => this.updater.handleAnnouncement(reported, peer),
     });
   }
 
@@ -348,7 +341,7 @@
       random,
       table: adapter.discoveryTable,
       membership: this.membership,
-      maintainsTable: () => this.readers.isReader,
+      maintainsTable: () => this.updater.readers.isReader,
       persisted: () => ({
         departures: this.upstreams.departures,
         upstreams: this.upstreams.identifiedUpstreams,
@@ -374,44 +367,19 @@
     });
   }
 
-  private createWatcher(): ConfigurationWatcher {
-    const { clock, platformAdapter: adapter } = this.options;
-    return new ConfigurationWatcher({
-      clock,
-      configuration: this.configuration,
-      source: adapter.configurationSource,
-      freshness: this.organisations.freshness,
-      mustReadPlatform: () => this.readers.mustReadPlatform,
-      waitMs: isFirst =>
-        Math.min(
-          this.readers.waitMs(isFirst),
-          this.organisations.proofRenewer?.maxWaitMs ?? Number.POSITIVE_INFINITY,
-        ),
-      readIntervalMs: () => this.organisations.proofRenewer?.readIntervalMs,
-      retryDelayMs: () => this.readers.retryDelayMs,
-      onReachability: isReachable => this.membership.setPlatformLost(!isReachable),
-      log: (message, facts) => this.configurationLog.info(facts, `Configuration: ${message}`),
-    });
-  }
-
-  private createDistribution(): ConfigurationDistribution {
-    const { clock, random } = this.options;
-    return new ConfigurationDistribution({
+  private createUpdater(): ConfigurationUpdater {
+    const { settings, clock, random, platformAdapter: adapter } = this.options;
+    return new ConfigurationUpdater({
       clock,
       random,
       configuration: this.configuration,
       freshness: this.organisations.freshness,
-      store: undefined,
-      isReader: () => false,
-      onReachability: () => undefined,
-      fetchDelayMs: peer => this.readers.fetchDelayMs(peer),
+      source: adapter.configurationSource,
+      membership: this.membership,
+      failureDomain: settings.failureDomain,
+      proofRenewer: this.organisations.proofRenewer,
       fetch: (peer, request) => this.core.peers.fetchConfiguration(peer, request),
-      fetchOrder: candidates => this.readers.fetchOrder(candidates),
-      onPeerFailure: (peer, reason) => logPeerFetchFailure(this.configurationLog, peer, reason),
-      onDigestMismatch: peer => {
-        logDigestMismatch(this.configurationLog, this.configuration, peer);
-        this.watcher.onDigestMismatch();
-      },
+      log: this.configurationLog,
     });
   }
 
@@ -440,7 +408,7 @@
     await startServers(this.broker, [...this.listeners.servers, serverOf(operators)]);
     this.membership.setOperatorAddress(listenAddress(settings.ip, serverOf(operators)));
     this.membership.start();
-    this.watcher.start();
+    this.updater.start();
     this.organisations.start();
     this.discovery.start();
     void this.discovery.firstRoundDone.then(() => (this.hasFleetView = true));
