Show how long a daemon lacks a version that it knows of, and since when it hears nothing

Cause: a daemon that never heard of a version and one whose fetch hangs look the same; the only line is written when a version becomes active. Change: the line says how long peers had announced the version (announcedForMs); status and gauges say how long a newer version has been known (behindMs) and how long ago a daemon was last heard that reads the platform for this one (sourceSilenceMs).

--- a/packages/configuration/src/configurationDistribution.ts
+++ b/packages/configuration/src/configurationDistribution.ts
@@ -20,6 +20,15 @@
   readonly shortDigest: number;
 }
 
+/** A generation above the active one that peers have announced. */
+interface MissingVersion {
+  readonly generation: number;
+  /** The active generation when `since` was taken. */
+  readonly active: number;
+  /** Monotonic time since when a generation above the active one is known, ms. */
+  readonly since: number;
+}
+
 /** Options of `ConfigurationDistribution`. */
 export interface DistributionOptions {
   readonly clock: Clock;
@@ -63,9 +72,23 @@
   /** The last generation for which a peer had other content. */
   private mismatchedGeneration = 0;
   private isUnreachable = false;
+  private missing: MissingVersion | undefined;
 
   constructor(private readonly options: DistributionOptions) {}
 
+  /** How long a generation above the active one has been known, without any newer one becoming active, ms; 0 if none is known. */
+  get behindMs(): number {
+    const { missing } = this;
+    const { clock, configuration } = this.options;
+    return missing && missing.generation > configuration.generation ? clock.now() - missing.since : 0;
+  }
+
+  /** How long ago a peer first announced a generation, or an earlier one that was then missing, ms; undefined if none did. */
+  announcedForMs(generation: number): number | undefined {
+    const { missing } = this;
+    return missing && missing.generation >= generation ? this.options.clock.now() - missing.since : undefined;
+  }
+
   /** Starts to read the platform, if the daemon has one. */
   start(): void {
     const { store } = this.options;
@@ -87,6 +110,7 @@
       onDigestMismatch(peer);
     }
     if (generation <= configuration.generation) return;
+    this.noteMissing(generation);
     this.generationsByPeer.set(peer, generation);
     this.fetching ??= this.fetchUntilCaughtUp(peer).finally(() => {
       this.fetching = undefined;
@@ -99,6 +123,13 @@
     await this.fetching;
   }
 
+  private noteMissing(generation: number): void {
+    const { clock, configuration } = this.options;
+    const { generation: active } = configuration;
+    if (this.missing?.active !== active) this.missing = { generation, active, since: clock.now() };
+    else if (generation > this.missing.generation) this.missing = { ...this.missing, generation };
+  }
+
   private async readForever(store: ConfigurationStore): Promise<void> {
     const { clock, random } = this.options;
     let intervalMs = READ_INTERVAL_MS;
--- a/packages/daemon/src/adoptionLog.ts
+++ b/packages/daemon/src/adoptionLog.ts
@@ -5,11 +5,14 @@
 /** Sections listed by name in one line; of a larger change the line gives only the total. */
 const MAX_NAMED_SECTIONS = 10;
 
-/** Logs a version that became active. Equal generations with different digests in the lines of two daemons mean different content. */
-export function logAdoption(log: Logger, adoption: Adoption): void {
+/**
+ * Logs a version that became active. Equal generations with different digests in the lines of two daemons mean different content.
+ * `announcedForMs` is how long peers had announced it; undefined if the platform was first.
+ */
+export function logAdoption(log: Logger, adoption: Adoption, announcedForMs: number | undefined): void {
   const { generation, digest, from, before, changes } = adoption;
   const named = changes.slice(0, MAX_NAMED_SECTIONS).map(({ section, kind }) => `${section} ${kind}`);
-  const facts = { generation, digest, from, before, changes: changes.length, named };
+  const facts = { generation, digest, from, announcedForMs, before, changes: changes.length, named };
   log.info(facts, 'Configuration: A version became active.');
 }
 
--- a/packages/daemon/src/configurationUpdater.ts
+++ b/packages/daemon/src/configurationUpdater.ts
@@ -56,6 +56,16 @@
     this.distribution.handleAnnouncement(announced, peer);
   }
 
+  /** How long a version that is not active here has been known, ms; 0 if none is known. */
+  get behindMs(): number {
+    return this.distribution.behindMs;
+  }
+
+  /** How long ago a peer first announced a generation, ms; undefined if none did. */
+  announcedForMs(generation: number): number | undefined {
+    return this.distribution.announcedForMs(generation);
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     await this.watcher[Symbol.asyncDispose]();
     await this.distribution[Symbol.asyncDispose]();
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -87,7 +87,7 @@
       clock,
       sections => new CallGraph(joinSections(sections)),
       adoption => {
-        logAdoption(this.configurationLog, adoption);
+        logAdoption(this.configurationLog, adoption, this.distribution.announcedForMs(adoption.generation));
         this.onConfigurationAdopted();
       },
     );
--- a/packages/daemon/src/platformReaders.ts
+++ b/packages/daemon/src/platformReaders.ts
@@ -40,7 +40,7 @@
 const RETRY_DELAY_PER_READER_MS = 1000;
 /** Assumed number of readers for the wait of a daemon that is not a reader. */
 const TYPICAL_READERS = 6;
-/** Maximum number of daemons that request freshness proofs from the same daemon, per reader if they request them from readers. */
+/** Maximum number of daemons that have the same daemon as a source, per reader if their sources are readers. */
 const MAX_REQUESTERS_PER_DAEMON = 16;
 /** A daemon that received nothing from others for this time reads for itself, ms. Otherwise there are about two messages a second. */
 const ISOLATED_AFTER_MS = 1500;
@@ -74,11 +74,18 @@
 
 /** The platform readers as seen by one daemon. */
 export class PlatformReaders {
+  private readonly startedAt: number;
+
   constructor(
     private readonly clock: Clock,
-    private readonly membership: Pick<Membership, 'me' | 'table' | 'lastReceivedAt' | 'aliveCount'>,
+    private readonly membership: Pick<
+      Membership,
+      'me' | 'table' | 'lastReceivedAt' | 'lastHeardAt' | 'aliveCount'
+    >,
     private readonly failureDomain: string,
-  ) {}
+  ) {
+    this.startedAt = clock.now();
+  }
 
   /** Whether this daemon is a reader of its failure domain. */
   get isReader(): boolean {
@@ -99,6 +106,12 @@
     return isIsolated || (this.membership.aliveCount() > 0 && this.isReader);
   }
 
+  /** Time since a source of this daemon was last heard, ms. */
+  get sourceSilenceMs(): number {
+    const heard = this.sources.map(address => this.membership.lastHeardAt(address) ?? this.startedAt);
+    return this.clock.now() - Math.max(this.startedAt, ...heard);
+  }
+
   /**
    * Returns the order in which to fetch a version that `candidates` report to have: first the candidates in this failure
    * domain, then its readers, which most likely have read it as well, and last the candidates in others, since traffic
@@ -130,10 +143,11 @@
   }
 
   /**
-   * The daemons from which this one requests freshness proofs: the readers of its failure domain, or in a large one a
-   * daemon that ranks between them and this one, so that no daemon receives too many requests.
+   * The daemons from which this one learns what the platform has, and requests freshness proofs: the readers of its
+   * failure domain, or in a large one a daemon that ranks between them and this one, so that no daemon receives too many
+   * requests.
    */
-  get proofSources(): readonly string[] {
+  get sources(): readonly string[] {
     const { sameDomainReaders } = this;
     const others = sameDomainReaders.filter(address => address !== this.membership.me.address);
     const ranked = rankedMembers(this.failureDomain, this.membership.table.all());
--- a/packages/daemon/src/proofRenewer.ts
+++ b/packages/daemon/src/proofRenewer.ts
@@ -1,6 +1,6 @@
 /**
  * Keeps the freshness proof of the configuration recent. A proof shows that the active configuration was the newest one
- * at some moment. The daemon requests proofs from the proof sources of its failure domain, and from any other daemon,
+ * at some moment. The daemon requests proofs from its sources (`platformReaders.ts`), and from any other daemon,
  * too, if these don't help. Logs when API keys are no longer accepted for lack of a proof, and when they are accepted again.
  */
 import { type Clock, type Random } from '@cleatquay/clock';
@@ -15,7 +15,7 @@
 const REQUEST_INTERVAL_RATIO = 1 / 12;
 const READ_INTERVAL_RATIO = 1 / 4;
 const MAX_WAIT_RATIO = 1 / 2;
-/** A proof as old as this fraction of the revocation time means that the proof sources don't help. */
+/** A proof as old as this fraction of the revocation time means that the sources don't help. */
 const STALE_RATIO = 1 / 2;
 /** Fraction of the revocation time for which a proof is valid: the clocks of two VMs may run a few percent apart. */
 const VALID_RATIO = 0.96;
@@ -25,7 +25,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly freshness: Freshness;
-  readonly readers: Pick<PlatformReaders, 'proofSources' | 'isReader' | 'isFirstReader'>;
+  readonly readers: Pick<PlatformReaders, 'sources' | 'isReader' | 'isFirstReader'>;
   readonly membership: Pick<Membership, 'requestProof' | 'randomAlive' | 'table'>;
   /** Longest time for which a key may be accepted after it was revoked, ms. */
   readonly revocationMs: number;
@@ -88,8 +88,8 @@
     const { ageMs } = freshness;
     this.logTransition(ageMs);
     if (ageMs < revocationMs * REQUEST_INTERVAL_RATIO) return;
-    const { proofSources } = readers;
-    const source = proofSources[Math.floor(random() * proofSources.length)];
+    const { sources } = readers;
+    const source = sources[Math.floor(random() * sources.length)];
     const sourceAddress = membership.table.get(source ?? '')?.gossipAddress;
     if (sourceAddress !== undefined) membership.requestProof(sourceAddress);
     if (ageMs < revocationMs * STALE_RATIO) return;
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -167,7 +167,8 @@
     daemon.updater = daemon.createUpdater();
     daemon.discovery = daemon.createDiscovery();
     addQuarantineGauges(daemon.metrics, daemon.core.quarantine);
-    addRelayGauges(daemon.metrics, daemon);
+    const { pressure, configuration, updater } = daemon;
+    addRelayGauges(daemon.metrics, { pressure, configuration, updater });
     addOrganisationGauges(daemon.metrics, daemon.organisations);
     addUpstreamGauges(daemon.metrics, daemon.upstreams);
     await daemon.startListening();
@@ -418,7 +419,7 @@
   }
 
   private onConfigurationAdopted(adoption: Adoption): void {
-    logAdoption(this.configurationLog, adoption);
+    logAdoption(this.configurationLog, adoption, this.updater.announcedForMs(adoption.generation));
     this.priorityClasses = this.configuration.active?.classes ?? 1;
     this.core.membership.setConfiguration(this.configuration);
     this.gateway.adoptConfiguration();
@@ -439,9 +440,9 @@
   }
 
   private get reportSources(): RelayReportSources {
-    const { configuration, membership, upstreams } = this;
+    const { configuration, membership, upstreams, updater } = this;
     const { router, running, attempts, quarantine } = this.core;
-    const sources = { configuration, membership, upstreams, router, running, attempts, quarantine };
+    const sources = { configuration, updater, membership, upstreams, router, running, attempts, quarantine };
     return { ...sources, inFlight: this.inFlight, freshness: this.organisations.freshness };
   }
 }
--- a/packages/daemon/src/relayGauges.ts
+++ b/packages/daemon/src/relayGauges.ts
@@ -1,19 +1,34 @@
 /** Gauges of a daemon for unmodified callers, evaluated on each scrape; docs/operators/observe.md lists them. */
 import { type ProcessorPressure } from '@cleatquay/admission';
 import { type Configuration } from '@cleatquay/configuration';
+import { type ConfigurationUpdater } from './configurationUpdater.js';
 import { type Metrics } from './metrics.js';
 
 /** The components that the gauges read. */
 export interface RelayGaugeSources {
   readonly pressure: ProcessorPressure;
   readonly configuration: Configuration<unknown>;
+  readonly updater: ConfigurationUpdater;
 }
 
 /** Adds the gauges. */
-export function addRelayGauges(metrics: Metrics, { pressure, configuration }: RelayGaugeSources): void {
+export function addRelayGauges(
+  metrics: Metrics,
+  { pressure, configuration, updater }: RelayGaugeSources,
+): void {
   const gauge = (name: string, help: string, read: () => number) =>
     metrics.gauge(`cleatquay_${name}`, help, read);
   gauge('processor_lag_ms', 'How late the latest timer was', () => pressure.lagMs);
   gauge('configuration_generation', 'Generation in force', () => configuration.generation);
   gauge('configuration_content', 'First half of the digest in force', () => configuration.shortDigest);
+  gauge(
+    'configuration_behind_ms',
+    'How long a newer generation has been known without becoming active',
+    () => updater.behindMs,
+  );
+  gauge(
+    'configuration_source_silence_ms',
+    'Time since a datagram of a daemon that reports new generations',
+    () => updater.readers.sourceSilenceMs,
+  );
 }
--- a/packages/daemon/src/relayReport.ts
+++ b/packages/daemon/src/relayReport.ts
@@ -6,11 +6,13 @@
 import { type Quarantine } from '@cleatquay/quarantine';
 import { type HostRoutes } from '@cleatquay/routes';
 import { type Router } from '@cleatquay/routing';
+import { type ConfigurationUpdater } from './configurationUpdater.js';
 import { type Upstreams } from './upstreams.js';
 
 /** The components whose state is reported. */
 export interface RelayReportSources {
   readonly configuration: Configuration<HostRoutes>;
+  readonly updater: ConfigurationUpdater;
   readonly membership: Membership;
   readonly upstreams: Upstreams;
   readonly router: Router;
@@ -23,13 +25,15 @@
 
 /** The active configuration, the upstreams and the members known to this daemon. */
 export function relayStatus(sources: RelayReportSources): object {
-  const { configuration, membership, upstreams, quarantine, inFlight, freshness } = sources;
+  const { configuration, updater, membership, upstreams, quarantine, inFlight, freshness } = sources;
   return {
     address: membership.me.address,
     failureDomain: membership.me.failureDomain,
     generation: configuration.generation,
     digest: configuration.digest,
     adoptedAt: configuration.adoptedAt,
+    behindMs: Math.round(updater.behindMs),
+    sourceSilenceMs: Math.round(updater.readers.sourceSilenceMs),
     proofAgeMs: Math.round(freshness.ageMs),
     upstreams: upstreams.dump(),
     members: [...membership.table.all()],
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -58,6 +58,8 @@
   private self: Member;
   private configuration: KnownConfiguration = { generation: 0, shortDigest: 0 };
   private receivedAt: number;
+  /** Monotonic time at which a datagram was last received, by gossip address, ms. */
+  private readonly heardAt = new Map<string, number>();
   private readonly probes: Probes<Context | undefined>;
   private readonly suspicions = new Map<string, Timer>();
   private readonly goneSince = new Map<string, number>();
@@ -131,6 +133,11 @@
     return this.receivedAt;
   }
 
+  /** Monotonic time at which a datagram of the member was last received, ms; undefined if there was none. */
+  lastHeardAt(address: string): number | undefined {
+    return this.heardAt.get(this.table.get(address)?.gossipAddress ?? '');
+  }
+
   /** Announces this daemon's upstreams to the fleet. */
   setUpstreams(upstreams: readonly Upstream[]): void {
     this.assertSelf({ upstreams: [...upstreams] });
@@ -329,6 +336,7 @@
     }
     if (this.options.isPartitioned?.(gossip.from)) return;
     this.receivedAt = this.options.clock.now();
+    this.heardAt.set(gossip.from, this.receivedAt);
     for (const member of gossip.members) {
       if (isValidMember(member)) this.accept(member, gossip.bulk);
       else this.traffic.invalid++;
@@ -479,7 +487,9 @@
     const old = this.options.clock.now() - FORGET_AFTER_MS;
     for (const [address, since] of this.goneSince) {
       if (since > old) continue;
-      this.verdictsSentAt.delete(this.table.get(address)?.gossipAddress ?? '');
+      const gossipAddress = this.table.get(address)?.gossipAddress ?? '';
+      this.verdictsSentAt.delete(gossipAddress);
+      this.heardAt.delete(gossipAddress);
       this.table.remove(address);
       this.goneSince.delete(address);
     }
