Let a daemon read the platform when its sources, not all daemons, are silent

Callers saw requests handled by an old configuration at daemons that could read the platform, 2.7 s after the change was confirmed (users' record, cause not shown) and 3.3 s (our test). Cause: a daemon that leaves reading to others learns of a change by gossip to random members only. It read for itself when it had received nothing from anybody for 1.5 s; but whoever it hears may lack the change as well, and two such daemons take each other for a sign that all is well. Nothing bounded how long that lasts but a read each 60 s. Class: a guard that watches for signs of life in place of the state that it guards. Change: what counts is when a daemon was last heard that reads the platform for this one (its sources, as freshness proofs know them: readers, or in large failure domains a daemon between). Silent for 0.5 s, it is probed, and its acknowledgement tells its version; silent for 1.2 s, this daemon reads the platform. The same for the daemon with the native interface, where a daemon that is no reader read nothing, ever.

--- a/packages/daemon/src/configurationUpdater.ts
+++ b/packages/daemon/src/configurationUpdater.ts
@@ -1,6 +1,6 @@
 /**
  * Keeps the configuration of a daemon for unmodified callers up to date: from the platform if the daemon is one of the few platform readers,
- * otherwise from its peers.
+ * otherwise from its peers. A daemon that hears nothing from its sources reads the platform itself in time for a change.
  */
 import { type Clock, type Random } from '@cleatquay/clock';
 import {
@@ -16,6 +16,7 @@
 import { logDigestMismatch, logPeerFetchFailure } from './adoptionLog.js';
 import { PlatformReaders } from './platformReaders.js';
 import { type ProofRenewer } from './proofRenewer.js';
+import { SourceContact } from './sourceContact.js';
 
 /** Dependencies of the updater. */
 export interface ConfigurationUpdaterOptions {
@@ -33,15 +34,22 @@
   readonly log: Logger;
 }
 
+/** Why a daemon reads the platform, if it does. */
+type ReadReason = 'none' | 'reader' | 'uninformed';
+
 /** Adopts each new version until disposed of. */
 export class ConfigurationUpdater implements AsyncDisposable {
   readonly readers: PlatformReaders;
+  private readonly contact: SourceContact;
   private readonly watcher: ConfigurationWatcher;
   private readonly distribution: ConfigurationDistribution;
+  private lastReadReason: ReadReason = 'none';
 
   constructor(private readonly options: ConfigurationUpdaterOptions) {
-    const { clock, membership, failureDomain } = options;
-    this.readers = new PlatformReaders(clock, membership, failureDomain);
+    const { clock, random, membership, failureDomain } = options;
+    const readers = new PlatformReaders(clock, membership, failureDomain);
+    this.readers = readers;
+    this.contact = new SourceContact({ clock, random, readers, membership });
     this.watcher = this.createWatcher();
     this.distribution = this.createDistribution();
   }
@@ -49,6 +57,7 @@
   /** Starts to read the platform, once the membership has started. */
   start(): void {
     this.watcher.start();
+    this.contact.start();
   }
 
   /** Handles a peer's announcement of its configuration. */
@@ -67,10 +76,29 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
+    await this.contact[Symbol.asyncDispose]();
     await this.watcher[Symbol.asyncDispose]();
     await this.distribution[Symbol.asyncDispose]();
   }
 
+  private mustReadPlatform(): boolean {
+    const reason = this.readReason;
+    if (reason === 'uninformed' && reason !== this.lastReadReason) {
+      const facts = { reason, behindMs: this.behindMs, sourceSilenceMs: this.readers.sourceSilenceMs };
+      this.options.log.info(
+        facts,
+        'Configuration: Reading the platform, since peers may not deliver a change.',
+      );
+    }
+    this.lastReadReason = reason;
+    return reason !== 'none';
+  }
+
+  private get readReason(): ReadReason {
+    if (!this.readers.mustReadPlatform) return 'none';
+    return this.readers.isReader ? 'reader' : 'uninformed';
+  }
+
   private createWatcher(): ConfigurationWatcher {
     const { clock, configuration, source, freshness, membership, proofRenewer, log } = this.options;
     return new ConfigurationWatcher({
@@ -78,7 +106,7 @@
       configuration,
       source,
       freshness,
-      mustReadPlatform: () => this.readers.mustReadPlatform,
+      mustReadPlatform: () => this.mustReadPlatform(),
       waitMs: isFirst =>
         Math.min(this.readers.waitMs(isFirst), proofRenewer?.maxWaitMs ?? Number.POSITIVE_INFINITY),
       readIntervalMs: () => proofRenewer?.readIntervalMs,
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -35,7 +35,8 @@
 import { OrganisationServices } from './organisationServices.js';
 import { addQuarantineGauges } from './quarantineGauges.js';
 import { createBroker } from './createBroker.js';
-import { platformReadersOf } from './platformReaders.js';
+import { PlatformReaders } from './platformReaders.js';
+import { SourceContact } from './sourceContact.js';
 import { addUpstreamGauges } from './upstreamGauges.js';
 import { checkListening, checkSameVm } from './upstreamAddress.js';
 import { type UpstreamBounds, type Upstreams } from './upstreams.js';
@@ -75,6 +76,8 @@
   /** Set once the daemon listens for its peers. */
   private core!: DaemonCore;
   private ingress!: Ingress;
+  private readers!: PlatformReaders;
+  private contact!: SourceContact;
   private distribution!: ConfigurationDistribution;
   private readonly organisations: OrganisationServices;
   private callerAddress = '';
@@ -104,6 +107,8 @@
     daemon.core = await daemon.startCore();
     daemon.organisations.connect(daemon.membership);
     daemon.ingress = daemon.createIngress();
+    daemon.readers = daemon.createReaders();
+    daemon.contact = daemon.createContact();
     daemon.distribution = daemon.createDistribution();
     addDaemonGauges(daemon.metrics, daemon.reportSources);
     addQuarantineGauges(daemon.metrics, daemon.core.quarantine);
@@ -143,6 +148,7 @@
   async [Symbol.asyncDispose](): Promise<void> {
     this.membership.leave();
     await this.broker.stop();
+    await this.contact[Symbol.asyncDispose]();
     await this.distribution[Symbol.asyncDispose]();
     await this.organisations[Symbol.asyncDispose]();
     await this.core[Symbol.asyncDispose]();
@@ -243,8 +249,19 @@
     });
   }
 
+  private createReaders(): PlatformReaders {
+    const { settings, clock } = this.options;
+    return new PlatformReaders(clock, this.membership, settings.failureDomain);
+  }
+
+  private createContact(): SourceContact {
+    const { clock, random } = this.options;
+    const { readers, membership } = this;
+    return new SourceContact({ clock, random, readers, membership });
+  }
+
   private createDistribution(): ConfigurationDistribution {
-    const { settings, clock, random } = this.options;
+    const { clock, random } = this.options;
     const { core } = this;
     return new ConfigurationDistribution({
       clock,
@@ -252,8 +269,7 @@
       configuration: this.configuration,
       freshness: this.organisations.freshness,
       store: this.store && new ConfigurationStore(this.store, clock),
-      isReader: () =>
-        platformReadersOf(settings.failureDomain, core.membership.table.all()).includes(core.self),
+      isReader: () => this.readers.isReader || this.readers.isUninformed,
       onReachability: isReachable => core.membership.setPlatformLost(!isReachable),
       fetchOrder: candidates => candidates,
       fetchDelayMs: () => 0,
@@ -300,6 +316,7 @@
     this.membership.setOperatorAddress(listenAddress(settings.ip, serverOf(operators)));
     this.membership.start();
     this.distribution.start();
+    this.contact.start();
     this.organisations.start();
   }
 
--- a/packages/daemon/src/platformReaders.ts
+++ b/packages/daemon/src/platformReaders.ts
@@ -42,8 +42,12 @@
 const TYPICAL_READERS = 6;
 /** Maximum number of daemons that have the same daemon as a source, per reader if their sources are readers. */
 const MAX_REQUESTERS_PER_DAEMON = 16;
-/** A daemon that received nothing from others for this time reads for itself, ms. Otherwise there are about two messages a second. */
-const ISOLATED_AFTER_MS = 1500;
+/**
+ * A daemon whose sources were silent for this time reads the platform itself, ms: together with the interval of that
+ * check it is less than the 2 s within which a change must be active. Datagrams of other daemons don't count, since
+ * these may lack the same change.
+ */
+const UNINFORMED_AFTER_MS = 1200;
 
 /**
  * Returns the readers of a failure domain in this view of the fleet: up to two whose reads succeed or, if there are none,
@@ -78,10 +82,7 @@
 
   constructor(
     private readonly clock: Clock,
-    private readonly membership: Pick<
-      Membership,
-      'me' | 'table' | 'lastReceivedAt' | 'lastHeardAt' | 'aliveCount'
-    >,
+    private readonly membership: Pick<Membership, 'me' | 'table' | 'lastHeardAt' | 'aliveCount'>,
     private readonly failureDomain: string,
   ) {
     this.startedAt = clock.now();
@@ -98,12 +99,16 @@
   }
 
   /**
-   * Whether this daemon must read the platform now: as a reader, or because it is isolated. While it knows no other
+   * Whether this daemon must read the platform now: as a reader, or because it is uninformed. While it knows no other
    * members yet, it can't tell whether it is a reader.
    */
   get mustReadPlatform(): boolean {
-    const isIsolated = this.clock.now() - this.membership.lastReceivedAt > ISOLATED_AFTER_MS;
-    return isIsolated || (this.membership.aliveCount() > 0 && this.isReader);
+    return this.isUninformed || (this.membership.aliveCount() > 0 && this.isReader);
+  }
+
+  /** Whether this daemon may have missed a change, since its sources were silent for too long. */
+  get isUninformed(): boolean {
+    return this.sourceSilenceMs > UNINFORMED_AFTER_MS;
   }
 
   /** Time since a source of this daemon was last heard, ms. */
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -57,7 +57,6 @@
   readonly traffic = { sentBytes: 0, receivedBytes: 0, sentDatagrams: 0, invalid: 0 };
   private self: Member;
   private configuration: KnownConfiguration = { generation: 0, shortDigest: 0 };
-  private receivedAt: number;
   /** Monotonic time at which a datagram was last received, by gossip address, ms. */
   private readonly heardAt = new Map<string, number>();
   private readonly probes: Probes<Context | undefined>;
@@ -83,7 +82,6 @@
   constructor(private readonly options: MembershipOptions<Context>) {
     this.self = { ...options.self, incarnation: 1, state: 'ALIVE', upstreams: [], isPlatformLost: false };
     this.table.put(this.self);
-    this.receivedAt = options.clock.now();
     this.probes = new Probes(options.clock, options.random, () => options.proofs?.captureContext());
     options.datagrams.receive(bytes => this.receive(bytes));
   }
@@ -128,11 +126,6 @@
     ).length;
   }
 
-  /** Monotonic time at which a datagram was last received, ms; initially that of the start. */
-  get lastReceivedAt(): number {
-    return this.receivedAt;
-  }
-
   /** Monotonic time at which a datagram of the member was last received, ms; undefined if there was none. */
   lastHeardAt(address: string): number | undefined {
     return this.heardAt.get(this.table.get(address)?.gossipAddress ?? '');
@@ -335,8 +328,7 @@
       return;
     }
     if (this.options.isPartitioned?.(gossip.from)) return;
-    this.receivedAt = this.options.clock.now();
-    this.heardAt.set(gossip.from, this.receivedAt);
+    this.heardAt.set(gossip.from, this.options.clock.now());
     for (const member of gossip.members) {
       if (isValidMember(member)) this.accept(member, gossip.bulk);
       else this.traffic.invalid++;
--- a/tests/platformReaders.spec.ts
+++ b/tests/platformReaders.spec.ts
@@ -9,9 +9,11 @@
 describe('PlatformReaders', () => {
   let clock: ManualClock;
   let members: Map<string, Member>;
+  let heardAt: Map<string, number>;
 
   beforeEach(() => {
     clock = new ManualClock();
+    heardAt = new Map();
     members = new Map(
       [...SAME_DOMAIN, OTHER_DOMAIN].map(address => [
         address,
@@ -20,11 +22,13 @@
     );
   });
 
+  /** The view of a daemon that has just heard from all others. */
   const readersSeenBy = (self: string) => {
-    const lastReceivedAt = clock.now();
+    for (const address of members.keys()) heardAt.set(address, clock.now());
+    const lastHeardAt = (address: string) => heardAt.get(address);
     const table = { get: (address: string) => members.get(address), all: () => members.values() };
     const aliveCount = () => members.size - 1;
-    const membership = { me: members.get(self)!, table, lastReceivedAt, aliveCount };
+    const membership = { me: members.get(self)!, table, lastHeardAt, aliveCount };
     return new PlatformReaders(clock, membership as never, members.get(self)!.failureDomain);
   };
   const activeReaders = () =>
@@ -52,6 +56,17 @@
     expect(view.mustReadPlatform).to.equal(true);
   });
 
+  it('lets a daemon read that has heard nothing from the readers for a while, although it hears from others', () => {
+    const readers = activeReaders();
+    const [other, self] = SAME_DOMAIN.filter(address => !readers.includes(address));
+    const view = readersSeenBy(self!);
+    clock.advance(1600);
+    heardAt.set(other!, clock.now());
+    expect(view.mustReadPlatform).to.equal(true);
+    heardAt.set(readers[1]!, clock.now());
+    expect(view.mustReadPlatform).to.equal(false);
+  });
+
   it('staggers the long polls of the readers, from the first one after a change on', () => {
     const fleet = [...activeReaders(), OTHER_DOMAIN];
     const first = fleet.map(address => readersSeenBy(address).waitMs(true)).sort((a, b) => a - b);
