Let a daemon read the platform for a version that peers don't deliver in time

Callers would see requests handled by an old configuration for up to a minute at daemons that know of a newer one (our test; not shown in the users' record). Cause: the way from the announcement to the content goes by peers only. If every fetch fails or hangs, nothing else is tried before the read each 60 s. Class: a way without a deadline, whose end nobody looks at. Change: a daemon that has known of a newer version for 1 s without any newer one becoming active counts it as overdue, and reads the platform, for either interface; a log line says why it reads (uninformed, overdue).

--- a/packages/configuration/src/configurationDistribution.ts
+++ b/packages/configuration/src/configurationDistribution.ts
@@ -13,6 +13,12 @@
 /** How long to wait for a response before the request goes to the next peer, ms: ten round trips over the longest distance. */
 const PEER_TIMEOUT_MS = 250;
 
+/**
+ * A daemon that has known of a version for this time and still lacks it reads the platform itself, ms: three rounds of
+ * requests to peers, and less than the 2 s within which a change must be active.
+ */
+const OVERDUE_AFTER_MS = 1000;
+
 /** The configuration that a peer announces. */
 export interface AnnouncedConfiguration {
   readonly generation: number;
@@ -83,6 +89,11 @@
     return missing && missing.generation > configuration.generation ? clock.now() - missing.since : 0;
   }
 
+  /** Whether peers have a newer version that can't be fetched from them in time, so that the platform has to be read for it. */
+  get isOverdue(): boolean {
+    return this.behindMs > OVERDUE_AFTER_MS;
+  }
+
   /** How long ago a peer first announced a generation, or an earlier one that was then missing, ms; undefined if none did. */
   announcedForMs(generation: number): number | undefined {
     const { missing } = this;
@@ -147,7 +158,7 @@
 
   /** A daemon whose reads fail keeps reading, so that it notices when it can be a platform reader again. */
   private get mayRead(): boolean {
-    return this.options.isReader() || this.hasMismatch || this.isUnreachable;
+    return this.options.isReader() || this.isOverdue || this.hasMismatch || this.isUnreachable;
   }
 
   private nextInterval(intervalMs: number): number {
--- a/packages/daemon/src/configurationUpdater.ts
+++ b/packages/daemon/src/configurationUpdater.ts
@@ -1,6 +1,7 @@
 /**
  * Keeps the configuration of a daemon for unmodified callers up to date: from the platform if the daemon is one of the few platform readers,
- * otherwise from its peers. A daemon that hears nothing from its sources reads the platform itself in time for a change.
+ * otherwise from its peers. What peers deliver is never the only way: a daemon that hears nothing from its sources, or can't get a version that
+ * it knows of, reads the platform itself in time for the change.
  */
 import { type Clock, type Random } from '@cleatquay/clock';
 import {
@@ -35,7 +36,7 @@
 }
 
 /** Why a daemon reads the platform, if it does. */
-type ReadReason = 'none' | 'reader' | 'uninformed';
+type ReadReason = 'none' | 'reader' | 'uninformed' | 'overdue';
 
 /** Adopts each new version until disposed of. */
 export class ConfigurationUpdater implements AsyncDisposable {
@@ -83,7 +84,8 @@
 
   private mustReadPlatform(): boolean {
     const reason = this.readReason;
-    if (reason === 'uninformed' && reason !== this.lastReadReason) {
+    const isUnexpected = reason === 'uninformed' || reason === 'overdue';
+    if (isUnexpected && reason !== this.lastReadReason) {
       const facts = { reason, behindMs: this.behindMs, sourceSilenceMs: this.readers.sourceSilenceMs };
       this.options.log.info(
         facts,
@@ -95,6 +97,7 @@
   }
 
   private get readReason(): ReadReason {
+    if (this.distribution.isOverdue) return 'overdue';
     if (!this.readers.mustReadPlatform) return 'none';
     return this.readers.isReader ? 'reader' : 'uninformed';
   }
