Let the test of a quarantined call wait until requests are accepted again

Cause: the known-red test sent its last request while the three upstreams that had crashed weren't announced yet, or while admission levels reported in that time still held (they rise over 2.5 s): the request was refused early (2002, not run), which is allowed. Change: the test waits for both: the next start of each crashed upstream is known to its daemon, and a request of the same route whose upstream makes no call is answered with 200. Its expectations are as they were.

--- a/packages/standins/src/platform/platformUpstreamStandin.ts
+++ b/packages/standins/src/platform/platformUpstreamStandin.ts
@@ -122,6 +122,11 @@
     return this.starts === 1 ? this.name : `${this.name}-${String(this.starts)}`;
   }
 
+  /** Whether it has started again after its latest crash. */
+  get hasRestarted(): boolean {
+    return this.starts > this.crashes.length;
+  }
+
   /** Listens, without announcing itself. */
   async listen(port = 0): Promise<void> {
     await new Promise<void>(resolve => this.server.listen(port, '127.0.0.1', resolve));
--- a/tests/quarantineOperators.spec.ts
+++ b/tests/quarantineOperators.spec.ts
@@ -1,7 +1,13 @@
 import { fingerprintOf } from '@cleatquay/quarantine';
 import { expect } from 'chai';
 import { execFile } from 'node:child_process';
-import { PlatformFleet, type PlatformVm, routeTo, until } from './fixtures/platformFleet.js';
+import {
+  PlatformFleet,
+  type PlatformNode,
+  type PlatformVm,
+  routeTo,
+  until,
+} from './fixtures/platformFleet.js';
 
 const CLI = 'packages/cli/bin/cleatquay.js';
 const QUERY_OF_DEATH = '/deadly';
@@ -153,6 +159,21 @@
   const untilQuarantined = async () => {
     for (const { daemon } of fleet.nodes) await until(() => daemon.quarantine.counts.held === 1);
   };
+  /** Until the restarted upstreams are known, and admission levels reported while they were not have expired, requests may be refused early. */
+  const untilAcceptedAgain = async (node: PlatformNode) => {
+    for (const { daemon, upstream } of fleet.nodes) {
+      if (upstream.crashes.length === 0) continue;
+      const isKnown = () =>
+        daemon.upstreams.identifiedUpstreams.some(({ instanceId }) => instanceId === upstream.instanceId);
+      await until(() => upstream.hasRestarted && isKnown());
+    }
+    await fleet.waitUntilConverged();
+    const { behaviour } = node.upstream;
+    const { calls } = behaviour;
+    behaviour.calls = [];
+    await until(async () => (await fleet.send(node, { path: '/without-calls' })).status === 200);
+    behaviour.calls = calls;
+  };
 
   afterEach(() => fleet[Symbol.asyncDispose]());
 
@@ -179,6 +200,7 @@
     for (let i = 0; crashCount() < QUARANTINE_CRASHES; i++)
       expect((await fleet.send(3, { path: `/own/${String(i)}` })).status).to.equal(500);
     await untilQuarantined();
+    await untilAcceptedAgain(fleet.nodes[3]!);
     const before = crashCount();
     expect((await fleet.send(3, { path: '/own/again' })).status).to.equal(500);
     expect(crashCount()).to.equal(before);
