Record why a call is not sent again after a refused or lost attempt

Change: the decision trace has "Not sent again." with the reason (no-room, no-other-upstream, deadline, no-retry), and the gauge cleatquay_calls_not_sent_again counts them.

--- a/packages/calls/src/forwarder.ts
+++ b/packages/calls/src/forwarder.ts
@@ -18,7 +18,7 @@
 } from '@cleatquay/protocol';
 import { resultByCode } from '@cleatquay/errors';
 import { type Quarantine } from '@cleatquay/quarantine';
-import { type Candidate, type CallResult, type Router } from '@cleatquay/routing';
+import { type Candidate, type CallResult, type Router, type Selection } from '@cleatquay/routing';
 import { BodyChecksum, replay } from './responses.js';
 import {
   type CallResponse,
@@ -68,6 +68,12 @@
   readonly freeReroutes: number;
 }
 
+/**
+ * Why a call is not sent again: all other upstreams would refuse it, there is no other one, its deadline has passed, or neither its own tokens nor
+ * the budget allow a retry.
+ */
+export type UnsentReason = 'no-room' | 'no-other-upstream' | 'deadline' | 'no-retry';
+
 interface Attempt {
   readonly route: CallRoute;
   readonly head: RequestHead;
@@ -84,6 +90,8 @@
 export class Forwarder {
   /** The notices of upstreams that were received from other daemons. */
   readonly notices = new PeerNotices();
+  /** Calls that were not sent again, by the reason. */
+  readonly unsentCalls = new Map<UnsentReason, number>();
 
   constructor(private readonly options: ForwarderOptions) {}
 
@@ -121,8 +129,10 @@
         : router.choose(route.service, route.name, level, attemptedAddresses, levelToSend);
       const candidate =
         selection.kind === 'chosen' ? selection.candidate : retries.allowsResends && resends.choose(random);
-      if (!candidate || remainingMs <= 0)
+      if (!candidate || remainingMs <= 0) {
+        if (lastAttempt) this.recordUnsent(context.requestId, unsentReason(selection, remainingMs));
         return refuse(lastAttempt?.refusal ?? noUpstreamRefusal(selection.kind, remainingMs, random));
+      }
       const sentTokens = Math.ceil(tokens / 2);
       const retainedTokens = tokens - sentTokens;
       const attemptContext: CallContext = {
@@ -182,13 +192,23 @@
         }),
       );
       if (next === 'resend') await clock.sleep(resends.pauseMs(remainingMs, random), signal);
-      if (next === 'none' || signal.aborted) return refuse(refusal);
+      if (signal.aborted) return refuse(refusal);
+      if (next === 'none') {
+        if (refusal.elsewhereHelps) this.recordUnsent(context.requestId, 'no-retry');
+        return refuse(refusal);
+      }
       if (next === 'reroute') reroutesLeft--;
       else if (next === 'retry') tokens--;
       isRepeat ||= hasReachedUpstream(refusal);
     }
   }
 
+  /** Records that a call whose last attempt was refused or lost is not sent again, although another upstream might answer it. */
+  private recordUnsent(requestId: string, reason: UnsentReason): void {
+    this.unsentCalls.set(reason, (this.unsentCalls.get(reason) ?? 0) + 1);
+    this.options.decisionTrace.record(requestId, 'Not sent again.', { reason });
+  }
+
   /** The refusal of a quarantined request. Fingerprints are computed only while there are suspects. */
   private refusalIfQuarantined(requestId: string, fingerprinted: FingerprintedRequest): Refusal | undefined {
     const { quarantine, decisionTrace } = this.options;
@@ -339,6 +359,11 @@
   }
 }
 
+function unsentReason({ kind }: Selection, remainingMs: number): UnsentReason {
+  if (remainingMs <= 0) return 'deadline';
+  return kind === 'refused' ? 'no-room' : 'no-other-upstream';
+}
+
 const NOTHING_TO_DISPOSE = () => undefined;
 const NONE_LEFT = { kind: 'none' } as const;
 
--- a/packages/calls/src/index.ts
+++ b/packages/calls/src/index.ts
@@ -14,7 +14,7 @@
 } from './callHandler.js';
 export { IdempotencyKeys } from './idempotencyKeys.js';
 export { type CallerRequest, Ingress, type IngressOptions } from './ingress.js';
-export { Forwarder, type ForwarderOptions } from './forwarder.js';
+export { Forwarder, type ForwarderOptions, type UnsentReason } from './forwarder.js';
 export {
   HOP_BY_HOP_HEADERS,
   AUTHORIZATION_HEADER,
--- a/packages/daemon/src/daemonGauges.ts
+++ b/packages/daemon/src/daemonGauges.ts
@@ -9,8 +9,11 @@
 import { addUpstreamGauges } from './upstreamGauges.js';
 
 /** The components that the gauges read. */
-export interface DaemonGaugeSources extends Omit<RelayGaugeSources, 'router'> {
-  readonly core: Pick<DaemonCore, 'chains' | 'quarantine' | 'router' | 'upstreams' | 'uploadBudget'>;
+export interface DaemonGaugeSources extends Omit<RelayGaugeSources, 'router' | 'forwarder'> {
+  readonly core: Pick<
+    DaemonCore,
+    'chains' | 'forwarder' | 'quarantine' | 'router' | 'upstreams' | 'uploadBudget'
+  >;
   readonly organisations: OrganisationGaugeSources;
 }
 
@@ -18,7 +21,7 @@
 export function addDaemonGauges(metrics: Metrics, sources: DaemonGaugeSources): void {
   const { core, organisations } = sources;
   addQuarantineGauges(metrics, core.quarantine);
-  addRelayGauges(metrics, { ...sources, router: core.router });
+  addRelayGauges(metrics, { ...sources, router: core.router, forwarder: core.forwarder });
   addOrganisationGauges(metrics, organisations);
   addUpstreamGauges(metrics, core.upstreams);
   addUploadGauges(metrics, core.uploadBudget);
--- a/packages/daemon/src/relayGauges.ts
+++ b/packages/daemon/src/relayGauges.ts
@@ -1,5 +1,6 @@
 /** Gauges of a daemon for unmodified callers, evaluated on each scrape; docs/operators/observe.md lists them. */
 import { type ProcessorPressure } from '@cleatquay/admission';
+import { type Forwarder } from '@cleatquay/calls';
 import { type Configuration } from '@cleatquay/configuration';
 import { type Router } from '@cleatquay/routing';
 import { type ConfigurationUpdater } from './configurationUpdater.js';
@@ -11,12 +12,13 @@
   readonly configuration: Configuration<unknown>;
   readonly updater: ConfigurationUpdater;
   readonly router: Pick<Router, 'crossedCalls'>;
+  readonly forwarder: Pick<Forwarder, 'unsentCalls'>;
 }
 
 /** Adds the gauges. */
 export function addRelayGauges(
   metrics: Metrics,
-  { pressure, configuration, updater, router }: RelayGaugeSources,
+  { pressure, configuration, updater, router, forwarder }: RelayGaugeSources,
 ): void {
   const gauge = (name: string, help: string, read: () => number) =>
     metrics.gauge(`cleatquay_${name}`, help, read);
@@ -39,4 +41,10 @@
     'failure_domain',
     () => router.crossedCalls,
   );
+  metrics.gaugeByLabel(
+    'cleatquay_calls_not_sent_again',
+    'Calls of which an attempt was refused or lost and that were not sent again, by the reason',
+    'reason',
+    () => forwarder.unsentCalls,
+  );
 }
