Let idempotent calls whose attempt was lost wait for room in place of ending as unknown

What callers saw: 502 after 0.8 to 3.2 s of 10 for idempotent requests that upstreams which never respond when full could not queue. Cause: the retry was granted, but at that instant the router refused the other upstream, or its daemon did; then nothing was sent, the retry stayed charged, and the lost attempt's "unknown" was the answer.

Change: such a call waits until an upstream accepts its priority, for a second or half of its time, 100 a daemon at most; it holds no slot and no retry meanwhile. Retries that no upstream received are given back. An idempotent request that was proved three times not to be at its upstream counts as not run: 503 with Retry-After if there is no room. The state of a call is a class of its own (forwardedCall.ts).

--- a/packages/calls/src/callResends.ts
+++ b/packages/calls/src/callResends.ts
@@ -3,6 +3,7 @@
  * that the route's number of attempts bounds, so that it needs only a retry of the fleet's budget and time.
  */
 import { type Random } from '@cleatquay/clock';
+import { resultByCode } from '@cleatquay/errors';
 import { type Refusal } from '@cleatquay/protocol';
 import { type Candidate } from '@cleatquay/routing';
 import { hasReachedUpstream } from './decideRetry.js';
@@ -30,7 +31,7 @@
     if (!hasReachedUpstream(refusal)) return;
     this.reached.add(address);
     this.refusals++;
-    if (refusal.outcome === 'not-run') this.refusing.push(candidate);
+    if (resultByCode(refusal.code) === 'shedByUpstream') this.refusing.push(candidate);
   }
 
   /** Whether the call may be sent again to an upstream that refused it. */
--- a/packages/calls/src/decideRetry.ts
+++ b/packages/calls/src/decideRetry.ts
@@ -1,5 +1,5 @@
 /** Decides whether a call whose last attempt failed is sent again, and what that costs. */
-import { resultByCode } from '@cleatquay/errors';
+import { type ResultName, resultByCode } from '@cleatquay/errors';
 import { type ChainOutlook, type Refusal } from '@cleatquay/protocol';
 import { type Retry } from './tokenBucketRetryBudget.js';
 
@@ -46,11 +46,18 @@
   return isResend ? 'resend' : 'retry';
 }
 
-/** Whether the attempt reached an upstream, which then ran or refused it. */
+/** Whether the attempt reached an upstream, which then ran it, refused it or never responded to it. */
 export function hasReachedUpstream({ code, outcome }: Refusal): boolean {
-  return outcome !== 'not-run' || resultByCode(code) === 'shedByUpstream';
+  return outcome !== 'not-run' || REACHED_WITHOUT_RUN.includes(resultByCode(code));
 }
 
+/** Whether the attempt reached an upstream, from which no response came. */
+export function isLostAttempt(refusal: Refusal): boolean {
+  return hasReachedUpstream(refusal) && resultByCode(refusal.code) !== 'shedByUpstream';
+}
+
+const REACHED_WITHOUT_RUN: readonly ResultName[] = ['shedByUpstream', 'upstreamUnresponsive'];
+
 /** The outcome over all attempts: a last attempt that did not run does not show that earlier ones did not. */
 export function withOverallOutcome(refusal: Refusal, mayHaveRun: boolean): Refusal {
   return mayHaveRun && refusal.outcome === 'not-run' ? { ...refusal, outcome: 'unknown' } : refusal;
--- a/packages/calls/src/earlyRefusals.ts
+++ b/packages/calls/src/earlyRefusals.ts
@@ -10,9 +10,11 @@
   if (remainingMs <= 0)
     return createRefusal('deadlineTooShort', 'The deadline passed before the call could be sent.');
   if (kind === 'none') return createRefusal('noUpstream', 'No upstream of the service is known.');
-  return createRefusal(
-    'refusedEarly',
-    'Downstream services have no capacity for a request of this priority.',
-    { retryAfterMs: Math.round(REFUSED_EARLY_RETRY_AFTER_MS * (0.5 + random())) },
-  );
+  return noRoomRefusal('Downstream services have no capacity for a request of this priority.', random);
+}
+
+/** The refusal of a call that has not run, and that no upstream has room for. */
+export function noRoomRefusal(message: string, random: Random): Refusal {
+  const retryAfterMs = Math.round(REFUSED_EARLY_RETRY_AFTER_MS * (0.5 + random()));
+  return createRefusal('refusedEarly', message, { retryAfterMs });
 }
--- a/packages/calls/src/fleetRetryBudget.ts
+++ b/packages/calls/src/fleetRetryBudget.ts
@@ -6,7 +6,7 @@
 import { type Clock } from '@cleatquay/clock';
 import { tightestWindow } from './retryWindows.js';
 import { type GrantsByPosition, ScarceRetries } from './scarceRetries.js';
-import { type Retry, type RetryBudget } from './tokenBucketRetryBudget.js';
+import { type Retry, type RetryBudget, type TakenRetry } from './tokenBucketRetryBudget.js';
 
 /**
  * Ratio of the budget that is spent on retries. The rest covers daemons that had to send more retries than others,
@@ -116,6 +116,21 @@
     return true;
   }
 
+  giveBack(service: string, { retry: { previousOutcome, order }, at }: TakenRetry): void {
+    const index = this.bucketIndexAt(at);
+    const bucket = this.buckets.get(service)?.find(known => known.index === index);
+    if (!bucket) return;
+    if (previousOutcome === 'may-have-run') bucket.mayHaveRunRetries--;
+    else bucket.otherRetries--;
+    if (previousOutcome === 'may-have-run' || order === undefined) return;
+    const position = ScarceRetries.positionOf(order);
+    bucket.granted.set(position, (bucket.granted.get(position) ?? 0) - 1);
+  }
+
+  private bucketIndexAt(time: number): number {
+    return Math.floor((time * BUCKETS_PER_WINDOW) / this.bounds.windowMs);
+  }
+
   /** Retries that this daemon may use in a window beyond those for its requests. */
   private get extra(): number {
     return (this.bounds.extra * FIXED_RATIO) / Math.max(1, this.daemons());
@@ -170,7 +185,7 @@
 
   /** The current bucket; removes buckets that have left the preceding window. */
   private currentBucket(service: string): Bucket {
-    const index = Math.floor((this.clock.now() * BUCKETS_PER_WINDOW) / this.bounds.windowMs);
+    const index = this.bucketIndexAt(this.clock.now());
     let buckets = this.buckets.get(service);
     if (!buckets) this.buckets.set(service, (buckets = []));
     const last = buckets.at(-1);
--- a/packages/calls/src/forwarder.ts
+++ b/packages/calls/src/forwarder.ts
@@ -1,24 +1,16 @@
 /** Forwards calls to upstreams: selects one, sends the request, verifies the response, seals lost attempts, and retries within the budget. */
-import { requestLevel, forwardingLevel } from '@cleatquay/admission';
-import {
-  CALLER_DISCONNECTED,
-  type CancelSignal,
-  Cancellation,
-  type Clock,
-  type Random,
-} from '@cleatquay/clock';
+import { CALLER_DISCONNECTED, type CancelSignal, Cancellation } from '@cleatquay/clock';
 import {
   type AnswerPart,
   type CallContext,
   type Refusal,
   type RequestHead,
   type SealAnswer,
-  refusalPart,
   createRefusal,
 } from '@cleatquay/protocol';
 import { resultByCode } from '@cleatquay/errors';
 import { type Quarantine } from '@cleatquay/quarantine';
-import { type Candidate, type CallResult, type Router, type Selection } from '@cleatquay/routing';
+import { type Candidate, type CallResult } from '@cleatquay/routing';
 import { BodyChecksum, replay } from './responses.js';
 import {
   type CallResponse,
@@ -30,30 +22,25 @@
 } from './callHandler.js';
 import { PeerNotices } from './peerNotices.js';
 import { quarantineRefusal } from './quarantineRefusal.js';
-import { type DecisionTrace } from './decisionTrace.js';
 import { ConnectionLoss } from './connectionLoss.js';
-import { noUpstreamRefusal } from './earlyRefusals.js';
-import { CallResends } from './callResends.js';
-import { decideRetry, hasReachedUpstream, withOverallOutcome } from './decideRetry.js';
-import { callsAtRisk, retryOrder } from './retryValue.js';
 import { type Peers } from './peers.js';
+import {
+  ForwardedCall,
+  type ForwardedCallOptions,
+  type NextUpstream,
+  type UnsentReason,
+} from './forwardedCall.js';
 import { FingerprintedRequest } from './fingerprintedRequest.js';
 import { type RequestBody } from './requestBody.js';
 import { bodyFailureRefusal, mayBeSentAgain, uploadRefusalAfterLoss } from './decideUploadReplay.js';
-import { type RetryBudget } from './tokenBucketRetryBudget.js';
 import { NON_IDEMPOTENT_GRACE_MS } from './upstreamDispatcher.js';
 
 const SEAL_TIMEOUT_MS = 1000;
 const SEAL_RETRY_DELAY_MS = 100;
 
 /** Dependencies on the daemon. */
-export interface ForwarderOptions {
-  readonly clock: Clock;
-  readonly random: Random;
-  readonly router: Router;
+export interface ForwarderOptions extends Omit<ForwardedCallOptions, 'onUnsent'> {
   readonly peers: Peers;
-  readonly retries: RetryBudget;
-  readonly decisionTrace: DecisionTrace;
   readonly quarantine: Quarantine;
   /** ip:port of this daemon; calls to its local upstream take no network hop. */
   readonly self: string;
@@ -64,16 +51,8 @@
    * which saves a timer, a cancellation and two closures per attempt.
    */
   readonly signalsEnforceDeadline: boolean;
-  /** How often a call that no upstream has received is rerouted after a refusal by a daemon, without spending a retry token. */
-  readonly freeReroutes: number;
 }
 
-/**
- * Why a call is not sent again: all other upstreams would refuse it, there is no other one, its deadline has passed, or neither its own tokens nor
- * the budget allow a retry.
- */
-export type UnsentReason = 'no-room' | 'no-other-upstream' | 'deadline' | 'no-retry';
-
 interface Attempt {
   readonly route: CallRoute;
   readonly head: RequestHead;
@@ -93,7 +72,18 @@
   /** Calls that were not sent again, by the reason. */
   readonly unsentCalls = new Map<UnsentReason, number>();
 
-  constructor(private readonly options: ForwarderOptions) {}
+  private readonly callOptions: ForwardedCallOptions;
+
+  constructor(private readonly options: ForwarderOptions) {
+    const onUnsent = (reason: UnsentReason) =>
+      void this.unsentCalls.set(reason, (this.unsentCalls.get(reason) ?? 0) + 1);
+    this.callOptions = { ...options, onUnsent };
+  }
+
+  /** Calls that have waited for room after a lost attempt, by what came of it. */
+  get roomWaitCounts(): ReadonlyMap<string, number> {
+    return new Map(Object.entries(this.options.roomWaits?.counts ?? {}));
+  }
 
   /** Forwards one call, with its retries. The final part of the response states how many retry tokens of the call are unused. */
   async forward(
@@ -103,110 +93,92 @@
     body: RequestBody,
     signal: CancelSignal,
   ): Promise<CallResponse> {
-    const { clock, random, router, retries, freeReroutes, decisionTrace, quarantine } = this.options;
-    const startedAt = clock.now();
+    const { clock, retries, quarantine } = this.options;
     if (quarantine.loaded) await quarantine.loaded;
     const fingerprinted = new FingerprintedRequest(head, body);
     if (!body.completeBody) await body.prefetch(!quarantine.isEmpty);
     retries.countRequest(route.service, context.isRepeat, context.class);
-    const level = requestLevel(context.class, context.rootId);
-    const levelToSend = forwardingLevel(level, context.depth);
-    const attemptedAddresses = new Set<string>();
-    let tokens = context.retryTokens;
-    let lastAttempt: FailedAttempt | undefined;
-    let mayHaveRun = false;
-    let reroutesLeft = freeReroutes;
-    let isRepeat = context.isRepeat;
-    const resends = new CallResends(context.retryTokens + 1);
-    const refuse = (refusal: Refusal) =>
-      singlePartResponse(refusalPart(withOverallOutcome(refusal, mayHaveRun), tokens, lastAttempt?.load));
+    using call = new ForwardedCall(route, context, this.callOptions);
     for (let attemptNumber = context.try; ; attemptNumber++) {
       const quarantined = this.refusalIfQuarantined(context.requestId, fingerprinted);
-      if (quarantined) return refuse(lastAttempt?.refusal ?? quarantined);
-      const remainingMs = Math.floor(context.remainingMs - (clock.now() - startedAt));
-      const selection = resends.isConfined
-        ? NONE_LEFT
-        : router.choose(route.service, route.name, level, attemptedAddresses, levelToSend);
-      const candidate =
-        selection.kind === 'chosen' ? selection.candidate : retries.allowsResends && resends.choose(random);
-      if (!candidate || remainingMs <= 0) {
-        if (lastAttempt) this.recordUnsent(context.requestId, unsentReason(selection, remainingMs));
-        return refuse(lastAttempt?.refusal ?? noUpstreamRefusal(selection.kind, remainingMs, random));
-      }
-      const sentTokens = Math.ceil(tokens / 2);
-      const retainedTokens = tokens - sentTokens;
-      const attemptContext: CallContext = {
-        ...context,
-        try: attemptNumber,
-        remainingMs,
-        retryTokens: sentTokens,
-        targetEpoch: candidate.epoch,
-        toHome: false,
-        isRepeat,
-      };
-      decisionTrace.record(context.requestId, 'Sent to an upstream.', {
-        try: attemptNumber,
-        to: candidate.address,
-        failureDomain: candidate.failureDomain,
-        remainingMs,
-        ...router.statisticsSummary({ ...selection, candidate }, route.name),
-      });
-      const result = await this.attempt({
+      if (quarantined) return call.refuseQuarantined(quarantined);
+      let next = call.selectUpstream();
+      if (next.kind !== 'chosen') next = await call.waitForUpstream(next, signal);
+      if (next.kind !== 'chosen') return call.refuseUnsent(next.kind);
+      if (!call.takeRetryAfterWait()) return call.refuseUnsent('no-retry');
+      const result = await this.send(call, next, attemptNumber, {
         route,
-        head: {
-          ...head,
-          context: attemptContext,
-          ...fingerprinted.headFields(quarantine),
-          notice: this.notices.noticeFor(route.service, candidate),
-        },
-        context: attemptContext,
-        candidate,
+        head,
+        context,
         body,
         fingerprinted,
         signal,
-        retainedTokens,
-      });
-      if ('first' in result) return result;
-      lastAttempt = { ...result, refusal: bodyFailureRefusal(body) ?? result.refusal };
-      tokens = retainedTokens + lastAttempt.unusedRetryTokens;
-      mayHaveRun ||= lastAttempt.refusal.outcome !== 'not-run';
-      decisionTrace.record(context.requestId, 'The attempt was refused or failed.', {
-        result: resultByCode(lastAttempt.refusal.code),
-        outcome: lastAttempt.refusal.outcome,
-        why: lastAttempt.refusal.message,
       });
-      fingerprinted.recordCrash(quarantine, lastAttempt.refusal.endedStart);
-      attemptedAddresses.add(candidate.address);
-      if (signal.aborted || !mayBeSentAgain(body, lastAttempt.refusal)) return refuse(lastAttempt.refusal);
-      const { refusal } = lastAttempt;
-      resends.record(candidate, refusal);
-      const mayResend = retries.allowsResends === true && resends.isPossible;
-      const { chain } = lastAttempt.load ?? {};
-      const { idempotent } = route;
-      const retryContext = { refusal, idempotent, tokens, reroutes: reroutesLeft, mayResend, chain };
-      const next = decideRetry(retryContext, previousOutcome =>
-        retries.take(route.service, {
-          previousOutcome,
-          callsBefore: callsAtRisk(context),
-          order: retryOrder(context),
-        }),
-      );
-      if (next === 'resend') await clock.sleep(resends.pauseMs(remainingMs, random), signal);
-      if (signal.aborted) return refuse(refusal);
-      if (next === 'none') {
-        if (refusal.elsewhereHelps) this.recordUnsent(context.requestId, 'no-retry');
-        return refuse(refusal);
+      if ('first' in result) {
+        call.recordResponse();
+        return result;
       }
-      if (next === 'reroute') reroutesLeft--;
-      else if (next === 'retry') tokens--;
-      isRepeat ||= hasReachedUpstream(refusal);
+      if (signal.aborted || !mayBeSentAgain(body, result.refusal)) return call.refuse();
+      const decision = call.decideRetry(result);
+      if (decision === 'resend') await clock.sleep(call.resendPauseMs(), signal);
+      if (signal.aborted) return call.refuse();
+      if (decision === 'none')
+        return result.refusal.elsewhereHelps ? call.refuseUnsent('no-retry') : call.refuse();
     }
   }
 
-  /** Records that a call whose last attempt was refused or lost is not sent again, although another upstream might answer it. */
-  private recordUnsent(requestId: string, reason: UnsentReason): void {
-    this.unsentCalls.set(reason, (this.unsentCalls.get(reason) ?? 0) + 1);
-    this.options.decisionTrace.record(requestId, 'Not sent again.', { reason });
+  /** Sends a call once, and records a failure. */
+  private async send(
+    call: ForwardedCall,
+    { candidate, crossing }: Extract<NextUpstream, { kind: 'chosen' }>,
+    attemptNumber: number,
+    { route, head, context, body, fingerprinted, signal }: Omit<Attempt, 'candidate' | 'retainedTokens'>,
+  ): Promise<CallResponse | FailedAttempt> {
+    const { router, decisionTrace, quarantine } = this.options;
+    const { remainingMs, isRepeat } = call;
+    const sentTokens = Math.ceil(call.tokens / 2);
+    const retainedTokens = call.tokens - sentTokens;
+    const attemptContext: CallContext = {
+      ...context,
+      try: attemptNumber,
+      remainingMs,
+      retryTokens: sentTokens,
+      targetEpoch: candidate.epoch,
+      toHome: false,
+      isRepeat,
+    };
+    decisionTrace.record(context.requestId, 'Sent to an upstream.', {
+      try: attemptNumber,
+      to: candidate.address,
+      failureDomain: candidate.failureDomain,
+      remainingMs,
+      ...router.statisticsSummary({ candidate, ...(crossing && { crossing }) }, route.name),
+    });
+    const result = await this.attempt({
+      route,
+      head: {
+        ...head,
+        context: attemptContext,
+        ...fingerprinted.headFields(quarantine),
+        notice: this.notices.noticeFor(route.service, candidate),
+      },
+      context: attemptContext,
+      candidate,
+      body,
+      fingerprinted,
+      signal,
+      retainedTokens,
+    });
+    if ('first' in result) return result;
+    const failed = { ...result, refusal: bodyFailureRefusal(body) ?? result.refusal };
+    call.recordFailure(candidate, failed, retainedTokens);
+    decisionTrace.record(context.requestId, 'The attempt was refused or failed.', {
+      result: resultByCode(failed.refusal.code),
+      outcome: failed.refusal.outcome,
+      why: failed.refusal.message,
+    });
+    fingerprinted.recordCrash(quarantine, failed.refusal.endedStart);
+    return failed;
   }
 
   /** The refusal of a quarantined request. Fingerprints are computed only while there are suspects. */
@@ -359,13 +331,7 @@
   }
 }
 
-function unsentReason({ kind }: Selection, remainingMs: number): UnsentReason {
-  if (remainingMs <= 0) return 'deadline';
-  return kind === 'refused' ? 'no-room' : 'no-other-upstream';
-}
-
 const NOTHING_TO_DISPOSE = () => undefined;
-const NONE_LEFT = { kind: 'none' } as const;
 
 /** A long response, whose checksum can only be verified at its end; it fails there on a mismatch. */
 async function* verifiedRest(
--- a/packages/calls/src/index.ts
+++ b/packages/calls/src/index.ts
@@ -14,7 +14,9 @@
 } from './callHandler.js';
 export { IdempotencyKeys } from './idempotencyKeys.js';
 export { type CallerRequest, Ingress, type IngressOptions } from './ingress.js';
-export { Forwarder, type ForwarderOptions, type UnsentReason } from './forwarder.js';
+export { Forwarder, type ForwarderOptions } from './forwarder.js';
+export { type UnsentReason } from './forwardedCall.js';
+export { RoomWaits } from './roomWaits.js';
 export {
   HOP_BY_HOP_HEADERS,
   AUTHORIZATION_HEADER,
@@ -35,7 +37,12 @@
 export { type Reachability, Peers } from './peers.js';
 export { ReplayableBody } from './replayableBody.js';
 export { type RequestId, RequestIdIssuer, parseRequestId } from './requestId.js';
-export { type Retry, TokenBucketRetryBudget, type RetryBudget } from './tokenBucketRetryBudget.js';
+export {
+  type Retry,
+  type TakenRetry,
+  TokenBucketRetryBudget,
+  type RetryBudget,
+} from './tokenBucketRetryBudget.js';
 export { RunningCall, RunningCalls, type RunningRequest } from './runningCalls.js';
 export { AttemptRegistry } from './attemptRegistry.js';
 export { type LocalUpstream } from './localUpstream.js';
--- a/packages/calls/src/requestProgress.ts
+++ b/packages/calls/src/requestProgress.ts
@@ -24,7 +24,11 @@
   onEnd();
 }
 
-/** The refusal for such a request. The outcome is unknown: that it has not run rests on what the upstream reports of itself. */
-export function unqueuedRefusal({ message }: UnqueuedRequest): Refusal {
-  return createRefusal('upstreamUnresponsive', message, { elsewhereHelps: true });
+/**
+ * The refusal for such a request. That it has not run rests on what the upstream reports of itself, which is proof enough where a run in spite of it
+ * does no harm: for an idempotent request. For any other one the outcome is unknown.
+ */
+export function unqueuedRefusal({ message }: UnqueuedRequest, isIdempotent: boolean): Refusal {
+  const outcome = isIdempotent ? 'not-run' : 'unknown';
+  return createRefusal('upstreamUnresponsive', message, { elsewhereHelps: true, outcome });
 }
--- a/packages/calls/src/tokenBucketRetryBudget.ts
+++ b/packages/calls/src/tokenBucketRetryBudget.ts
@@ -13,6 +13,13 @@
   readonly order?: number;
 }
 
+/** A retry that was taken from the budget. */
+export interface TakenRetry {
+  readonly retry: Retry;
+  /** Clock time, ms. */
+  readonly at: number;
+}
+
 /** Decides which calls may be retried after an attempt that reached an upstream. */
 export interface RetryBudget {
   /** Whether calls may be sent again, within the budget, to upstreams that refused them; by default they may not. */
@@ -26,6 +33,8 @@
   readonly countSuccess: () => void;
   /** Takes one retry at the service; false if the budget has none. */
   readonly take: (service: string, retry: Retry) => boolean;
+  /** Gives back a retry that no upstream has received. */
+  readonly giveBack: (service: string, taken: TakenRetry) => void;
 }
 
 /** A token bucket that successes refill and retries drain. */
@@ -45,4 +54,8 @@
     this.tokens--;
     return true;
   }
+
+  giveBack(): void {
+    this.tokens = Math.min(MAX_TOKENS, this.tokens + 1);
+  }
 }
--- a/packages/calls/src/upstreamDispatcher.ts
+++ b/packages/calls/src/upstreamDispatcher.ts
@@ -376,7 +376,7 @@
     if (error instanceof UnqueuedRequest) {
       permit.release('shed');
       this.options.decisionTrace.record(context.requestId, error.message);
-      return unqueuedRefusal(error);
+      return unqueuedRefusal(error, route.idempotent);
     }
     if (CONNECT_ERRORS.includes(code ?? '')) {
       if (!route.idempotent) this.options.attempts.markNotDispatched(context.requestId);
--- a/packages/daemon/src/relayGauges.ts
+++ b/packages/daemon/src/relayGauges.ts
@@ -12,7 +12,7 @@
   readonly configuration: Configuration<unknown>;
   readonly updater: ConfigurationUpdater;
   readonly router: Pick<Router, 'crossedCalls'>;
-  readonly forwarder: Pick<Forwarder, 'unsentCalls'>;
+  readonly forwarder: Pick<Forwarder, 'unsentCalls' | 'roomWaitCounts'>;
 }
 
 /** Adds the gauges. */
@@ -47,4 +47,10 @@
     'reason',
     () => forwarder.unsentCalls,
   );
+  metrics.gaugeByLabel(
+    'cleatquay_calls_waiting_for_room',
+    'Calls with a lost attempt that wait for an upstream with room, and what came of earlier ones',
+    'state',
+    () => forwarder.roomWaitCounts,
+  );
 }
