Record the age and the bytes of a connection to an upstream that failed

Of 332 root requests that ended with CQ4001 and a connection failure, nearly all were idempotent reads of one route, and their connection was reset 0 to 2 ms after the request was given to the upstream; whether these were new connections that the upstream does not accept or kept ones could not be told apart. Change: the trace of such an attempt has the connection's age and its bytes in both directions.

--- a/packages/calls/src/upstreamConnections.ts
+++ b/packages/calls/src/upstreamConnections.ts
@@ -50,12 +50,21 @@
 /** The response on the connection belongs to another request. The upstream may have run this one nevertheless. */
 export class ResponseMismatch extends Error {}
 
+/** What was known of a connection when it failed. */
+export interface FailedConnection {
+  readonly ageMs: number;
+  /** Bytes received on it; none on a connection that never had a response. */
+  readonly bytesRead: number;
+  readonly bytesWritten: number;
+}
+
 /** Connection pools of one upstream: one that reuses connections, and one that opens a new connection for each request. */
 export class UpstreamConnections implements AsyncDisposable {
   private readonly keepAlivePool: Pool;
   private readonly singleUsePool: Pool;
   private hasDelimitedResponses = false;
   private noReuseUntil = Number.NEGATIVE_INFINITY;
+  private readonly failedConnections = new WeakMap<object, FailedConnection>();
   /** Number of connections that have failed so far. */
   private connectionErrors = 0;
 
@@ -110,6 +119,11 @@
     this.noReuseUntil = this.clock.now() + NO_REUSE_MS;
   }
 
+  /** The connection whose failure ended an exchange with this error; undefined if the error has another cause. */
+  failedConnection(error: unknown): FailedConnection | undefined {
+    return typeof error === 'object' && error !== null ? this.failedConnections.get(error) : undefined;
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     await Promise.all([this.keepAlivePool.close(), this.singleUsePool.close()]);
   }
@@ -119,11 +133,21 @@
     return (options, callback) => {
       connect(options, (...[error, socket]: buildConnector.CallbackArgs) => {
         if (error) return callback(error, null);
-        (socket as Socket).on('error', () => this.connectionErrors++);
+        this.watch(socket as Socket);
         callback(null, socket);
       });
     };
   }
+
+  private watch(socket: Socket): void {
+    const openedAt = this.clock.now();
+    socket.on('error', error => {
+      this.connectionErrors++;
+      const ageMs = Math.round(this.clock.now() - openedAt);
+      const { bytesRead, bytesWritten } = socket;
+      this.failedConnections.set(error, { ageMs, bytesRead, bytesWritten });
+    });
+  }
 }
 
 /** One request and its response, as a handler of undici's events. */
--- a/packages/calls/src/upstreamDispatcher.ts
+++ b/packages/calls/src/upstreamDispatcher.ts
@@ -389,6 +389,7 @@
     const { decisionTrace } = this.options;
     decisionTrace.record(context.requestId, 'The upstream sent no complete response.', {
       why: message ?? 'unknown',
+      ...upstream.connections.failedConnection(error),
     });
     const isMismatch = error instanceof ResponseMismatch;
     const crash =
