Keep the retry tokens of a call at its ingress where calls of a run have their own

What callers saw: an idempotent request whose connection to the daemon of its upstream was lost (daemon killed, link reset) ended with 504 at once where its route allows two attempts. Cause: the single retry token was sent along with the attempt, for calls of the run, and lost with it; on the platform these calls take tokens from their own route. Found by the scripted twin of the known failure (lostAttempts.spec.ts). Change: such daemons send no tokens along. The limit of attempts is as before.

--- a/packages/calls/src/forwardedCall.ts
+++ b/packages/calls/src/forwardedCall.ts
@@ -34,6 +34,8 @@
   readonly decisionTrace: DecisionTrace;
   /** How often a call that no upstream has received is rerouted after a refusal by a daemon, without spending a retry token. */
   readonly freeReroutes: number;
+  /** Whether the calls of a run have retry tokens of their own, so that its request needs to be sent with none; false by default. */
+  readonly callsHaveOwnTokens?: boolean;
   /** Where calls whose attempt was lost wait for room; they end at once if it is absent. */
   readonly roomWaits?: RoomWaits;
   /** Called when a call is not sent again after a failed attempt. */
@@ -86,6 +88,11 @@
     return Math.floor(this.context.remainingMs - (this.options.clock.now() - this.startedAt));
   }
 
+  /** Retry tokens that are sent along with the call: those of a lost attempt are lost with it. */
+  get tokensToSend(): number {
+    return this.options.callsHaveOwnTokens ? 0 : Math.ceil(this.tokens / 2);
+  }
+
   /** Selects the upstream for the next send. */
   selectUpstream(): NextUpstream {
     if (this.remainingMs <= 0) return { kind: 'deadline' };
--- a/packages/calls/src/forwarder.ts
+++ b/packages/calls/src/forwarder.ts
@@ -135,14 +135,13 @@
     { route, head, context, body, fingerprinted, signal }: Omit<Attempt, 'candidate' | 'retainedTokens'>,
   ): Promise<CallResponse | FailedAttempt> {
     const { router, decisionTrace, quarantine } = this.options;
-    const { remainingMs, isRepeat } = call;
-    const sentTokens = Math.ceil(call.tokens / 2);
-    const retainedTokens = call.tokens - sentTokens;
+    const { remainingMs, isRepeat, tokensToSend } = call;
+    const retainedTokens = call.tokens - tokensToSend;
     const attemptContext: CallContext = {
       ...context,
       try: attemptNumber,
       remainingMs,
-      retryTokens: sentTokens,
+      retryTokens: tokensToSend,
       targetEpoch: candidate.epoch,
       toHome: false,
       isRepeat,
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -179,6 +179,7 @@
       dialect: defaultDialect,
       retries: new TokenBucketRetryBudget(),
       freeReroutes: 0,
+      callsHaveOwnTokens: false,
       signalsEnforceDeadline: false,
       routeOf: head => graph()?.find(head.service, head.method, head.path),
       downstreamCallsOf: route => this.downstreamCallsOf(route),
--- a/packages/daemon/src/daemonCore.ts
+++ b/packages/daemon/src/daemonCore.ts
@@ -84,6 +84,8 @@
   readonly retries: RetryBudget;
   /** Maximum number of refusals by peers after which a call is rerouted without spending a retry. */
   readonly freeReroutes: number;
+  /** Whether the calls of a run have retry tokens of their own. */
+  readonly callsHaveOwnTokens: boolean;
   /** Whether the signals given to the forwarder abort at the deadline of the call. */
   readonly signalsEnforceDeadline: boolean;
   readonly routeOf: (head: RequestHead) => CallRoute | undefined;
@@ -234,6 +236,7 @@
       peers: this.peers,
       retries: options.retries,
       freeReroutes: options.freeReroutes,
+      callsHaveOwnTokens: options.callsHaveOwnTokens,
       roomWaits: new RoomWaits(clock, random),
       signalsEnforceDeadline: options.signalsEnforceDeadline,
       quarantine: this.quarantine,
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -279,6 +279,7 @@
       dialect: adapter.upstreams,
       retries: new FleetRetryBudget(clock, retries, () => this.membership.aliveCount() + 1),
       freeReroutes: 3,
+      callsHaveOwnTokens: true,
       signalsEnforceDeadline: true,
       routeOf: routeFromHead,
       downstreamCallsOf: ({ name }) => this.learnedCalls.expectedFrom(name),
--- a/tests/lostAttempts.spec.ts
+++ b/tests/lostAttempts.spec.ts
@@ -4,6 +4,7 @@
  */
 import {
   type CallResponse,
+  ConnectionLoss,
   DecisionTrace,
   EMPTY_BODY,
   FleetRetryBudget,
@@ -55,6 +56,12 @@
 const overloaded: Attempt = tokens => refused(createRefusal('overloaded', 'Full.', elsewhere), tokens);
 const LOSSES: readonly (readonly [string, Attempt])[] = [
   ['that the upstream could not queue', unqueued],
+  [
+    'whose connection was lost',
+    () => {
+      throw new ConnectionLoss('Reset.', false);
+    },
+  ],
   [
     'whose upstream crashed',
     tokens => refused(createRefusal('upstreamEnded', 'Crashed.', elsewhere), tokens),
@@ -109,6 +116,7 @@
       peers: { exchange } as unknown as Peers,
       retries: budget,
       freeReroutes: 3,
+      callsHaveOwnTokens: true,
       roomWaits,
       signalsEnforceDeadline: true,
       decisionTrace: new DecisionTrace(clock),
