Count the time of a call from before the beginning of its body is read

Cause: with the state of a call in a class of its own, its time began only after the beginning of its body had been read, so that an upstream was handed more time than was left. Change: the time begins before.

--- a/packages/calls/src/forwarder.ts
+++ b/packages/calls/src/forwarder.ts
@@ -94,11 +94,12 @@
     signal: CancelSignal,
   ): Promise<CallResponse> {
     const { clock, retries, quarantine } = this.options;
+    // Its time runs from here on: reading the beginning of the body may take a while.
+    using call = new ForwardedCall(route, context, this.callOptions);
     if (quarantine.loaded) await quarantine.loaded;
     const fingerprinted = new FingerprintedRequest(head, body);
     if (!body.completeBody) await body.prefetch(!quarantine.isEmpty);
     retries.countRequest(route.service, context.isRepeat, context.class);
-    using call = new ForwardedCall(route, context, this.callOptions);
     for (let attemptNumber = context.try; ; attemptNumber++) {
       const quarantined = this.refusalIfQuarantined(context.requestId, fingerprinted);
       if (quarantined) return call.refuseQuarantined(quarantined);
