--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -30,6 +30,7 @@
 import { FaultHooks } from './faultHooks.js';
 import { Metrics } from './metrics.js';
 import { operatorGateway } from './operatorGateway.js';
+import { OperatorRequests } from './operatorRequests.js';
 import { listenAddress, serverOf, startServers } from './httpListeners.js';
 import { addOrganisationGauges } from './organisationGauges.js';
 import { OrganisationServices } from './organisationServices.js';
@@ -310,6 +311,9 @@
         setDraining: draining => this.upstreams.setDraining(draining),
       }),
     );
+    const { clock, log } = this.options;
+    const warn = (message: string, facts: object) => log.warn(facts, message);
+    new OperatorRequests({ clock, metrics: this.metrics, log: warn }).watch(serverOf(operators));
     await startServers(this.broker, [serverOf(callers), serverOf(operators)]);
     const server = serverOf(callers);
     server.on('clientError', (error, socket) => writeHttpParserError(error, socket));
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -11,3 +11,5 @@
 export { Upstreams } from './upstreams.js';
 export { ConfigurationUpdater } from './configurationUpdater.js';
 export { PlatformReaders } from './platformReaders.js';
+export { Metrics } from './metrics.js';
+export { OperatorRequests } from './operatorRequests.js';
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -37,6 +37,7 @@
 import { HttpListeners, type Listener, listenAddress, serverOf, startServers } from './httpListeners.js';
 import { Metrics } from './metrics.js';
 import { operatorGateway } from './operatorGateway.js';
+import { OperatorRequests } from './operatorRequests.js';
 import { createBroker } from './createBroker.js';
 import { type CallerDialect, RelayGateway } from './relayGateway.js';
 import { PressureLog } from './pressureLog.js';
@@ -404,6 +405,9 @@
         setDraining: draining => this.upstreams.setDraining(draining),
       }),
     );
+    const operatorLog = this.options.log.child({ part: 'operators' });
+    const log = (message: string, facts: object) => operatorLog.warn(facts, message);
+    new OperatorRequests({ clock, metrics: this.metrics, log }).watch(serverOf(operators));
     await startServers(this.broker, [...this.listeners.servers, serverOf(operators)]);
     this.membership.setOperatorAddress(listenAddress(settings.ip, serverOf(operators)));
     this.membership.start();
