Count the retry of a send as used unless its refusal shows that no upstream received it

Cause: read from the code, not seen in a run: a retry was given back when a send ended in an error other than a lost connection, though an upstream may have received it. Change: a retry goes along with its send, and comes back only with a refusal that shows that no upstream received the call.

--- a/packages/calls/src/forwardedCall.ts
+++ b/packages/calls/src/forwardedCall.ts
@@ -66,8 +66,10 @@
   private mayHaveRun = false;
   /** Whether an attempt was lost: sent to an upstream, of which no response came. */
   private isLost = false;
-  /** A retry that no upstream has received yet. */
+  /** A retry for the next send. */
   private takenRetry: TakenRetry | undefined;
+  /** The retry of the latest send. */
+  private sentRetry: TakenRetry | undefined;
   private wait: RoomWait | undefined;
 
   constructor(
@@ -136,6 +138,12 @@
     return true;
   }
 
+  /** Records the start of a send. Its retry counts as used unless the send turns out to have reached no upstream. */
+  recordSend(): void {
+    this.sentRetry = this.takenRetry;
+    this.takenRetry = undefined;
+  }
+
   /** Records a failed attempt, of which the forwarder kept `retainedTokens`. */
   recordFailure(candidate: Candidate, attempt: FailedAttempt, retainedTokens: number): void {
     const { refusal } = attempt;
@@ -145,8 +153,9 @@
     this.isLost ||= this.route.idempotent && isLostAttempt(refusal);
     this.attemptedAddresses.add(candidate.address);
     this.resends.record(candidate, refusal);
-    if (hasReachedUpstream(refusal)) this.takenRetry = undefined;
-    else this.refusedAddresses.add(candidate.address);
+    if (hasReachedUpstream(refusal)) return;
+    this.takenRetry = this.sentRetry;
+    this.refusedAddresses.add(candidate.address);
   }
 
   /** Decides what follows the failed attempt, and takes a retry if that needs one. */
@@ -211,11 +220,6 @@
     this.giveBackRetry();
   }
 
-  /** Records that an upstream responded: the retry is used. */
-  recordResponse(): void {
-    this.takenRetry = undefined;
-  }
-
   /** Whether another upstream may accept the call soon. */
   private mayFindRoom({ kind }: NextUpstream): boolean {
     return kind === 'no-room' || (kind === 'no-other-upstream' && this.refusedAddresses.size > 0);
--- a/packages/calls/src/forwarder.ts
+++ b/packages/calls/src/forwarder.ts
@@ -115,10 +115,7 @@
         fingerprinted,
         signal,
       });
-      if ('first' in result) {
-        call.recordResponse();
-        return result;
-      }
+      if ('first' in result) return result;
       if (signal.aborted || !mayBeSentAgain(body, result.refusal)) return call.refuse();
       const decision = call.decideRetry(result);
       if (decision === 'resend') await clock.sleep(call.resendPauseMs(), signal);
@@ -154,6 +151,7 @@
       remainingMs,
       ...router.statisticsSummary({ candidate, ...(crossing && { crossing }) }, route.name),
     });
+    call.recordSend();
     const result = await this.attempt({
       route,
       head: {
