--- a/tests/platformResponses.spec.ts
+++ b/tests/platformResponses.spec.ts
@@ -1,3 +1,6 @@
+import { type Outcome, type ResultName, resultCodes } from '@cleatquay/errors';
+import { refusalStatus } from '@cleatquay/platform';
+import { createRefusal } from '@cleatquay/protocol';
 import { type UpstreamFault } from '@cleatquay/standins';
 import { expect } from 'chai';
 import fc from 'fast-check';
@@ -194,3 +197,20 @@
     );
   });
 });
+
+describe('the status of a refusal', () => {
+  const outcomes = fc.constantFrom<Outcome>('not-run', 'unknown', 'failed');
+  const results = fc.constantFrom(...(Object.keys(resultCodes) as ResultName[]));
+
+  // Guards against requests that have not run and end with 504, so that their callers can't send them again.
+  it('guarantees that a request has not run exactly if that is known', () => {
+    fc.assert(
+      fc.property(results, outcomes, (result, outcome) => {
+        const status = refusalStatus(createRefusal(result, '', { outcome }));
+        if (outcome !== 'not-run') expect(NOT_RUN_STATUSES).not.to.include(status);
+        else if (resultCodes[result].status >= 500) expect(status).to.equal(503);
+        else expect(status).to.equal(resultCodes[result].status);
+      }),
+    );
+  });
+});
