Give the order of retries a module of its own

Cause: the groups and positions of calls stood among the decisions about retries. Change: retryPositions.ts has them; nothing is decided differently.

--- a/packages/calls/src/chainAdmission.ts
+++ b/packages/calls/src/chainAdmission.ts
@@ -18,11 +18,11 @@
  * with a much smaller share, fewer would be allowed than have been used before the share was lowered.
  */
 const MIN_SHARE = 0.25;
-/** The share that is always admitted grows with the completion: where only late calls get retries, it stays below what is wanted, whatever the share. */
-const MIN_SHARE_PER_COMPLETION = 1.5;
-/** Upper bound of that share. */
+/** What each unit of completion adds to that share: where only late calls get retries, the completion stays below what is wanted, however few are admitted. */
+const SHARE_PER_COMPLETION = 1.5;
+/** Upper bound of the share that is always admitted. */
 const MAX_LEAST_SHARE = 0.39;
-/** The share stays for this long after an outlook has lowered it, and then doubles in each `DOUBLING_MS`: from the lowest share to all in less than a second. */
+/** The share stays for this long after an outlook has lowered it, and then doubles in each `DOUBLING_MS`, ms. */
 const HOLD_MS = 500;
 const DOUBLING_MS = 400;
 const MIN_RETRY_AFTER_MS = 1000;
@@ -81,7 +81,7 @@
     if (completion >= floor) return;
     if (!this.shares.has(key) && this.shares.size >= MAX_ROUTES) this.removeComplete();
     if (!this.shares.has(key) && this.shares.size >= MAX_ROUTES) return;
-    const least = Math.min(MAX_LEAST_SHARE, MIN_SHARE + completion * MIN_SHARE_PER_COMPLETION);
+    const least = Math.min(MAX_LEAST_SHARE, MIN_SHARE + completion * SHARE_PER_COMPLETION);
     const lowered = Math.max(least, (value * completion) / WANTED);
     const since = value < 1 && known ? known.since : now;
     this.shares.set(key, { value: lowered, loweredAt: now, since, completion });
--- a/packages/calls/src/fleetRetryBudget.ts
+++ b/packages/calls/src/fleetRetryBudget.ts
@@ -5,7 +5,8 @@
  */
 import { type Clock } from '@cleatquay/clock';
 import { tightestWindow } from './retryWindows.js';
-import { type GrantsByPosition, type RetryPlace, ScarceRetries } from './scarceRetries.js';
+import { type RetryPlace, positionOf } from './retryPositions.js';
+import { type GrantsByPosition, ScarceRetries } from './scarceRetries.js';
 import { type Retry, type RetryBudget, type TakenRetry } from './tokenBucketRetryBudget.js';
 
 /**
@@ -97,7 +98,7 @@
     if (previousOutcome === 'not-run' && order !== undefined) {
       const place = { order, callsBefore };
       if (!this.isGrantedAfterRefusal(service, place, buckets)) return false;
-      const position = ScarceRetries.positionOf(place);
+      const position = positionOf(place);
       current.granted.set(position, (current.granted.get(position) ?? 0) + 1);
     } else {
       let requests = 0;
@@ -126,7 +127,7 @@
     if (previousOutcome === 'may-have-run') bucket.mayHaveRunRetries--;
     else bucket.otherRetries--;
     if (previousOutcome === 'may-have-run' || order === undefined) return;
-    const position = ScarceRetries.positionOf({ order, callsBefore });
+    const position = positionOf({ order, callsBefore });
     bucket.granted.set(position, (bucket.granted.get(position) ?? 0) - 1);
   }
 
--- a/packages/calls/src/scarceRetries.ts
+++ b/packages/calls/src/scarceRetries.ts
@@ -3,22 +3,15 @@
  * succeeds only if every call does, so that retries which are spread evenly complete hardly any chain.
  */
 import { type Clock } from '@cleatquay/clock';
+import {
+  type CallGroup,
+  FIRST_LOWER,
+  type RetryPlace,
+  isLateCall,
+  positionOf,
+  rangeOf,
+} from './retryPositions.js';
 
-/**
- * Groups of calls, in the order of their positions. Late calls belong to chains of which a good part is done: a retry for one of them completes a chain
- * several times as often as one for a first call, after which most of the chain is still to come.
- */
-type CallGroup = 'late-top' | 'early-top' | 'late-lower' | 'early-lower';
-const GROUPS: readonly CallGroup[] = ['late-top', 'early-top', 'late-lower', 'early-lower'];
-/** More than a group needs: 16 positions for each of 256 classes. */
-const POSITIONS_PER_GROUP = 4096;
-/** Positions of each lower class. */
-const POSITIONS_PER_CLASS = 16;
-/** The top class may need several times the budget, so that few of its chains can be completed. */
-const TOP_CLASS_POSITIONS = 64;
-/** Calls at risk from which a call is late. One of the top class counts as one more call at risk; its chains are completed from an earlier part on. */
-const LATE_TOP_CALLS = 4;
-const LATE_LOWER_CALLS = 2;
 /** Time constant of the measured demand: long enough for some requests of the top class at each daemon. */
 const DEMAND_TIME_CONSTANT_MS = 500;
 /**
@@ -52,8 +45,6 @@
  * a retry completes more of them.
  */
 const LATE_LOWER_RATIO = 0.85;
-/** The same: ratio of the present need of late calls in a window that is left to them when early calls request retries. */
-const LATE_RESERVE = 1;
 /** As `MAX_CONCENTRATION`, for these calls. */
 const MAX_LATE_CONCENTRATION = 3;
 
@@ -65,14 +56,6 @@
   at: number;
 }
 
-/** The place of a call among those that need retries. */
-export interface RetryPlace {
-  /** Lowest first; the integer part is its class. */
-  readonly order: number;
-  /** Calls made earlier for the same request, whose work is lost if this call fails. */
-  readonly callsBefore: number;
-}
-
 /** The use of the budget when a retry is requested. */
 export interface BudgetUse {
   /** Retries in the window, of all kinds. */
@@ -97,18 +80,9 @@
     private readonly windowMs: number,
   ) {}
 
-  /** The position of a call: by its group, and within that by its order. */
-  static positionOf({ order, callsBefore }: RetryPlace): number {
-    const isTop = order < 1;
-    const isLate = callsBefore >= (isTop ? LATE_TOP_CALLS : LATE_LOWER_CALLS);
-    const group = `${isLate ? 'late' : 'early'}-${isTop ? 'top' : 'lower'}` as const;
-    const withinGroup = isTop ? order * TOP_CLASS_POSITIONS : (order - 1) * POSITIONS_PER_CLASS;
-    return firstOf(group) + Math.min(Math.floor(withinGroup), POSITIONS_PER_GROUP - 1);
-  }
-
   /** Counts a requested retry, whether it is granted or not. */
   countDemand(place: RetryPlace): void {
-    const position = ScarceRetries.positionOf(place);
+    const position = positionOf(place);
     const value = this.demandAt(position) + 1;
     this.demand.set(position, { value, at: this.clock.now() });
   }
@@ -117,12 +91,12 @@
   isGranted(place: RetryPlace, use: BudgetUse): boolean {
     const { used, allowed, usable } = use;
     if (used + 1 > allowed) return false;
-    const position = ScarceRetries.positionOf(place);
+    const position = positionOf(place);
     const isTop = place.order < 1;
     const isTopShort = this.needed(0, FIRST_LOWER) > usable;
     if (!isTopShort) return isTop ? this.isGrantedToTop(position, use) : this.isGrantedToLower(position, use);
-    const isLate = groupAt(position).startsWith('late');
-    if (!isLate && used + this.lateNeed * LATE_RESERVE + 1 > allowed) return false;
+    const isLate = isLateCall(place);
+    if (!isLate && used + this.lateNeed + 1 > allowed) return false;
     if (isTop) return this.isGrantedToShortTop(position, use);
     return isLate ? isGrantedToLateLower(use) : this.isGrantedToLower(position, use);
   }
@@ -166,7 +140,8 @@
   }
 
   private neededIn(group: CallGroup): number {
-    return this.needed(firstOf(group), firstOf(group) + POSITIONS_PER_GROUP);
+    const { first, last } = rangeOf(group);
+    return this.needed(first, last + 1);
   }
 
   /** Retries that calls at the positions from `first` to below `end` have used in the window, or need in one, whichever is more. */
@@ -194,23 +169,11 @@
 /** Whether late calls of lower classes get one of those that are left to them while the top class needs more than there are. */
 function isGrantedToLateLower({ allowed, granted, latest, latestPart }: BudgetUse): boolean {
   const available = allowed * LATE_LOWER_RATIO;
-  const first = firstOf('late-lower');
-  const last = first + POSITIONS_PER_GROUP - 1;
+  const { first, last } = rangeOf('late-lower');
   const isSpreadOut = sumFrom(latest, first, last) + 1 <= available * latestPart * MAX_LATE_CONCENTRATION;
   return isSpreadOut && sumFrom(sumByPosition(granted), first, last) + 1 <= available;
 }
 
-function firstOf(group: CallGroup): number {
-  return GROUPS.indexOf(group) * POSITIONS_PER_GROUP;
-}
-
-function groupAt(position: number): CallGroup {
-  return GROUPS[Math.floor(position / POSITIONS_PER_GROUP)] ?? 'early-lower';
-}
-
-/** The first position of the lower classes. */
-const FIRST_LOWER = firstOf('late-lower');
-
 function sumFrom(grants: GrantsByPosition, first: number, last = Number.POSITIVE_INFINITY): number {
   let sum = 0;
   for (const [position, count] of grants) if (position >= first && position <= last) sum += count;
