Report a taken address of links or datagrams by its number

What operators saw: a daemon whose port another process has ended with CQ6999 and "Report this with the log lines around it" where the port was that of links or datagrams; the HTTP servers said CQ6004. Cause: these two rejected with node's own error. Evidence: one of the 366 starts of four daemons (two loops beside each other, which may choose the same ports) had "CQ6999 listen EADDRINUSE 127.0.0.1:10568". Change: both reject with addressTaken.

--- a/packages/calls/src/peerServer.ts
+++ b/packages/calls/src/peerServer.ts
@@ -1,4 +1,5 @@
 /** The server of the peer protocol: links for calls, and gRPC for rare requests, on one port. */
+import { asFailure } from '@cleatquay/errors';
 import {
   type ConfigurationAnswer,
   type ConfigurationRequest,
@@ -50,10 +51,10 @@
     });
   }
 
-  /** Listens on ip:port and returns the port. */
+  /** Listens on ip:port and returns the port. Rejects with `addressTaken` if it can't. */
   async listen(ip: string, port: number): Promise<number> {
     return new Promise((resolve, reject) => {
-      this.listener.once('error', reject);
+      this.listener.once('error', error => reject(asFailure(error, 'addressTaken')));
       this.listener.listen(port, ip, () => resolve((this.listener.address() as AddressInfo).port));
     });
   }
--- a/packages/membership/src/datagrams.ts
+++ b/packages/membership/src/datagrams.ts
@@ -1,4 +1,5 @@
 /** Datagram transport by IP address and port: UDP, or a simulated network in tests. */
+import { asFailure } from '@cleatquay/errors';
 import { type Socket, createSocket } from 'node:dgram';
 import { type AddressInfo } from 'node:net';
 
@@ -21,7 +22,7 @@
   static async bind(ip: string, port: number): Promise<UdpDatagrams> {
     const socket = createSocket('udp4');
     await new Promise<void>((resolve, reject) => {
-      socket.once('error', reject);
+      socket.once('error', error => reject(asFailure(error, 'addressTaken')));
       socket.bind(port, ip, resolve);
     });
     socket.removeAllListeners('error');
