Share the request head and the member of tests that write them again

Cause: lostAttempts.spec.ts and retryBudget.spec.ts had a head and a member of their own, as chainLoad.ts has. Change: fixtures only; no check differs.

--- a/tests/lostAttempts.spec.ts
+++ b/tests/lostAttempts.spec.ts
@@ -27,7 +27,8 @@
 } from '@cleatquay/protocol';
 import { Router, UpstreamDirectory } from '@cleatquay/routing';
 import { expect } from 'chai';
-import { CALL_CONTEXT } from './fixtures/callContext.js';
+import { CALL_CONTEXT, REQUEST_HEAD } from './fixtures/callContext.js';
+import { memberAt } from './fixtures/chainLoad.js';
 import { isolatedQuarantine } from './fixtures/isolatedQuarantine.js';
 
 const SERVICE = 's';
@@ -101,7 +102,7 @@
     clock = new ManualClock();
     sentTo = [];
     const directory = new UpstreamDirectory();
-    for (const address of ADDRESSES) directory.update(memberAt(address));
+    for (const address of ADDRESSES) directory.update(memberAt(address, 10, SERVICE));
     router = new Router({ clock, random: () => 0.5, directory, self: 'me', failureDomain: 'a' });
     budget = new CountingBudget(clock, { ratio: 0.2, extra: 1000, windowMs: 10_000 }, () => 1);
     roomWaits = new RoomWaits(clock, () => 0.5);
@@ -134,7 +135,7 @@
 
   const forward = (signal = new Cancellation().signal) => {
     const context = { ...CALL_CONTEXT, remainingMs: REMAINING_MS, retryTokens: 1, route: ROUTE.name };
-    const head = { ...HEAD, context };
+    const head = { ...REQUEST_HEAD, context };
     return forwarder.forward(ROUTE, head, context, new ReplayableBody(EMPTY_BODY), signal);
   };
 
@@ -200,28 +201,3 @@
     expect(roomWaits.counts.turnedAway).to.equal(1);
   });
 });
-
-const HEAD = {
-  context: CALL_CONTEXT,
-  service: SERVICE,
-  method: 'GET',
-  path: '/',
-  headers: '',
-  fingerprint: '',
-  endedStarts: [],
-  notice: undefined,
-};
-
-function memberAt(address: string) {
-  return {
-    address,
-    gossipAddress: address,
-    operatorAddress: address,
-    failureDomain: 'a',
-    epoch: 1,
-    incarnation: 1,
-    state: 'ALIVE' as const,
-    upstreams: [{ service: SERVICE, address, slots: 10, connections: 10, draining: false }],
-    isPlatformLost: false,
-  };
-}
--- a/tests/retryBudget.spec.ts
+++ b/tests/retryBudget.spec.ts
@@ -23,7 +23,8 @@
 import { type Route } from '@cleatquay/settings';
 import { expect } from 'chai';
 import fc from 'fast-check';
-import { CALL_CONTEXT } from './fixtures/callContext.js';
+import { CALL_CONTEXT, REQUEST_HEAD } from './fixtures/callContext.js';
+import { memberAt } from './fixtures/chainLoad.js';
 import { isolatedQuarantine } from './fixtures/isolatedQuarantine.js';
 
 const NEVER = new AbortController().signal;
@@ -46,7 +47,7 @@
     private readonly outcomes: readonly AttemptOutcome[],
   ) {
     const directory = new UpstreamDirectory();
-    for (let i = 0; i < UPSTREAMS; i++) directory.update(member(i));
+    for (let i = 0; i < UPSTREAMS; i++) directory.update(memberAt(`127.0.0.${String(i + 1)}:1`, 10, 's'));
     const random = seededRandom('chain');
     this.router = new Router({ clock: this.clock, random, directory, self: 'none', failureDomain: 'a' });
   }
@@ -72,7 +73,7 @@
       local: exchange as never,
     });
     const body = new ReplayableBody(EMPTY_BODY);
-    const { first } = await forwarder.forward(ROUTE, { ...HEAD, context }, context, body, NEVER);
+    const { first } = await forwarder.forward(ROUTE, { ...REQUEST_HEAD, context }, context, body, NEVER);
     expect(isFinalPart(first)).to.equal(true);
     return first;
   }
@@ -113,16 +114,6 @@
   }
 }
 
-const HEAD: RequestHead = {
-  context: CALL_CONTEXT,
-  service: 's',
-  method: 'GET',
-  path: '/',
-  headers: '',
-  fingerprint: '',
-  endedStarts: [],
-  notice: undefined,
-};
 const ROUTE: Route = {
   name: 's.run',
   service: 's',
@@ -137,20 +128,6 @@
   matches: () => true,
 };
 
-function member(i: number) {
-  const address = `127.0.0.${String(i + 1)}:1`;
-  const upstreams = [{ service: 's', address, slots: 10, connections: 10, draining: false }];
-  const addresses = { address, gossipAddress: address, operatorAddress: address, failureDomain: 'a' };
-  return {
-    ...addresses,
-    epoch: 1,
-    incarnation: 1,
-    state: 'ALIVE' as const,
-    upstreams,
-    isPlatformLost: false,
-  };
-}
-
 describe('the retry budget', () => {
   it('limits the attempts for one client request over the whole chain, for any depth, fan-out and failures', async () => {
     const outcome = fc.constantFrom<AttemptOutcome>(
