Admit chains again 0.2 s sooner after a service has recovered

What callers saw: chains refused for up to 2.1 s after the service at their end had recovered, where 2 s are allowed (chainFleet.spec.ts).

--- a/packages/calls/src/chainAdmission.ts
+++ b/packages/calls/src/chainAdmission.ts
@@ -23,7 +23,7 @@
 /** Upper bound of the share that is always admitted. */
 const MAX_LEAST_SHARE = 0.39;
 /** The share stays for this long after an outlook has lowered it, and then doubles in each `DOUBLING_MS`, ms. */
-const HOLD_MS = 500;
+const HOLD_MS = 300;
 const DOUBLING_MS = 400;
 const MIN_RETRY_AFTER_MS = 1000;
 const MAX_RETRY_AFTER_MS = 5000;
