Let calls wait for room in the first half of their time only

Cause: a loss that is found late had the wait added to it. Change: a call waits in the first half of its time only; the rest is for its run, and for a retry by its caller.

Failed before: lostAttempts.spec.ts "does not wait in the second half of its time" (ended after 5,505 ms, 4,520 allowed); 15 pass now.

--- a/packages/calls/src/forwardedCall.ts
+++ b/packages/calls/src/forwardedCall.ts
@@ -47,6 +47,9 @@
   | { readonly kind: 'chosen'; readonly candidate: Candidate; readonly crossing?: CrossingReason }
   | { readonly kind: UnsentReason };
 
+/** Ratio of the time of a call in which it does not wait for room: it is for its run, and for a retry by its caller. */
+const RESERVED_TIME_RATIO = 0.5;
+
 const NO_OTHER_UPSTREAM = { kind: 'no-other-upstream' } as const;
 
 /** One call that is being forwarded. */
@@ -118,7 +121,7 @@
   async waitForUpstream(next: NextUpstream, signal: CancelSignal): Promise<NextUpstream> {
     const { roomWaits } = this.options;
     if (!this.isLost || !this.mayFindRoom(next)) return next;
-    this.wait ??= roomWaits?.enter(this.remainingMs);
+    this.wait ??= roomWaits?.enter(this.remainingMs - this.context.remainingMs * RESERVED_TIME_RATIO);
     if (!this.wait || !roomWaits) return next;
     this.giveBackRetry();
     for (const address of this.refusedAddresses) this.attemptedAddresses.delete(address);
--- a/packages/calls/src/roomWaits.ts
+++ b/packages/calls/src/roomWaits.ts
@@ -6,8 +6,7 @@
 
 /** Bounds the memory of the bodies that are kept meanwhile. */
 const MAX_WAITING_CALLS = 100;
-/** A call gives up after this ratio of its remaining time, since the rest is for its run or for a retry by its caller, and after this time, ms. */
-const MAX_WAIT_RATIO = 0.5;
+/** A call gives up after this time, ms. */
 const MAX_WAIT_MS = 1000;
 /** Pauses between two looks at the upstreams, ms; each is twice the one before. */
 const MIN_PAUSE_MS = 10;
@@ -29,15 +28,16 @@
     private readonly random: Random,
   ) {}
 
-  /** A place for a call with this time left, ms; undefined if too many calls wait. */
-  enter(remainingMs: number): RoomWait | undefined {
+  /** A place for a call that may wait this long, ms; undefined if it may not, or if too many calls wait. */
+  enter(maxWaitMs: number): RoomWait | undefined {
     const { clock, random, counts } = this;
+    if (maxWaitMs <= 0) return undefined;
     if (counts.waiting >= MAX_WAITING_CALLS) {
       counts.turnedAway++;
       return undefined;
     }
     counts.waiting++;
-    const endsAt = clock.now() + Math.min(MAX_WAIT_MS, remainingMs * MAX_WAIT_RATIO);
+    const endsAt = clock.now() + Math.min(MAX_WAIT_MS, maxWaitMs);
     let pauseMs = MIN_PAUSE_MS;
     let isOpen = true;
     return {
--- a/tests/lostAttempts.spec.ts
+++ b/tests/lostAttempts.spec.ts
@@ -97,10 +97,13 @@
   let roomWaits: RoomWaits;
   let sentTo: string[];
   let attempts: Attempt[];
+  /** Time until the outcome of an attempt is known. */
+  let foundAfterMs: number;
 
   beforeEach(() => {
     clock = new ManualClock();
     sentTo = [];
+    foundAfterMs = 0;
     const directory = new UpstreamDirectory();
     for (const address of ADDRESSES) directory.update(memberAt(address, 10, SERVICE));
     router = new Router({ clock, random: () => 0.5, directory, self: 'me', failureDomain: 'a' });
@@ -108,7 +111,7 @@
     roomWaits = new RoomWaits(clock, () => 0.5);
     const exchange = (address: string, { context }: RequestHead) => {
       sentTo.push(address);
-      return Promise.resolve().then(() => (attempts.shift() ?? answered)(context!.retryTokens));
+      return clock.sleep(foundAfterMs).then(() => (attempts.shift() ?? answered)(context!.retryTokens));
     };
     forwarder = new Forwarder({
       clock,
@@ -192,6 +195,14 @@
     expect([endedAt <= 210, budget.held, roomWaits.counts.waiting]).to.deep.equal([true, 0, 0]);
   });
 
+  // Guards against a loss that is found late, to which a wait is added.
+  it('does not wait in the second half of its time', async () => {
+    attempts = [unqueued];
+    foundAfterMs = 4500;
+    const { endedAt } = await playToEnd(forward(), () => report(false));
+    expect(endedAt).to.be.within(4500, 4520);
+  });
+
   it('does not wait where a hundred others do', async () => {
     const places = Array.from({ length: 100 }, () => roomWaits.enter(REMAINING_MS));
     expect(places.every(place => place !== undefined)).to.equal(true);
