Keep the connections to an upstream in a pool of our own, and record which one a response came on

The trace says for each response whether it was a rejection, the number of its connection, how many requests that carried before, and whether the same request was among them. The exchange of a request has a module of its own.

--- a/packages/calls/src/index.ts
+++ b/packages/calls/src/index.ts
@@ -51,12 +51,8 @@
   UpstreamDispatcher,
   type UpstreamDispatcherOptions,
 } from './upstreamDispatcher.js';
-export {
-  ResponseMismatch,
-  type UpstreamResponse,
-  UpstreamConnections,
-  type UpstreamRequest,
-} from './upstreamConnections.js';
+export { UpstreamConnections } from './upstreamConnections.js';
+export { ResponseMismatch, type UpstreamResponse, type UpstreamRequest } from './upstreamExchange.js';
 export {
   type UpstreamCrash,
   CrashDetector,
--- a/packages/calls/src/upstreamDispatcher.ts
+++ b/packages/calls/src/upstreamDispatcher.ts
@@ -34,7 +34,7 @@
 import { RunningCall, type RunningCalls } from './runningCalls.js';
 import { type AttemptRegistry } from './attemptRegistry.js';
 import { brokenIntakeRefusal } from './uploadIntake.js';
-import { ResponseMismatch, type UpstreamResponse } from './upstreamConnections.js';
+import { ResponseMismatch, type UpstreamResponse } from './upstreamExchange.js';
 import { type UpstreamCrash, type CrashDetector, receivedFingerprint } from './crashDetector.js';
 import { type UpstreamDialect } from './upstreamDialect.js';
 
@@ -244,19 +244,18 @@
       cancellation[Symbol.dispose]();
     };
     try {
-      const response = this.toResponse(
-        admitted,
-        call,
-        await this.sendToUpstream(admitted, cancellation.signal),
-      );
+      const upstreamResponse = await this.sendToUpstream(admitted, cancellation.signal);
+      const response = this.toResponse(admitted, call, upstreamResponse);
       const tookMs = clock.now() - startedAt;
       upstream.costs.recordRun(route.name, tookMs);
       this.options.chains.runResponded(call, tookMs, response);
       if (!call.hasMadeCalls) upstream.admission.limit.recordRun(route.name, permit.share, tookMs);
       const waitedMs = Math.round(tookMs);
       decisionTrace.record(context.requestId, 'The upstream responded.', {
-        status: statusOf(response),
+        status: upstreamResponse.status,
+        isRejection: response.first.refusal !== undefined,
         waitedMs,
+        ...upstreamResponse.connection,
       });
       decisionTrace.requestEnded(context.requestId, false);
       if (!response.rest) finish();
@@ -282,6 +281,7 @@
     const isEmpty = Buffer.isBuffer(body) && body.length === 0;
     return upstream.connections.send(
       {
+        id: context.requestId,
         method: head.method,
         path: head.path,
         headers: [...parseHeaderBlock(head.headers), ...dialect.requestHeaders(context, upstream.instanceId)],
@@ -448,7 +448,3 @@
 
 /** Never aborts: a non-idempotent request that was started continues even if the caller disconnects. */
 const NON_IDEMPOTENT_SIGNAL = NEVER_CANCELLED;
-
-function statusOf({ first }: CallResponse): number {
-  return first.head?.status ?? 0;
-}
--- /dev/null
+++ b/packages/calls/src/upstreamExchange.ts
@@ -0,0 +1,188 @@
+/** One request to an upstream and its response. */
+import { type CancelSignal } from '@cleatquay/clock';
+import { type IncomingHttpHeaders } from 'node:http';
+import { type Dispatcher } from 'undici';
+import { PART_BYTES } from './responses.js';
+import { type CallBody } from './callHandler.js';
+import { AsyncQueue } from './flowControl.js';
+import { type RequestProgress, UnqueuedRequest } from './requestProgress.js';
+import { type ConnectionUse, NO_CONNECTION, type UpstreamConnection } from './upstreamConnection.js';
+
+/** Response bytes buffered for a slow reader before reading from the upstream pauses. */
+const MAX_BUFFERED_BYTES = 128 * 1024;
+const BODYLESS_STATUSES = [204, 304];
+
+/** A request to an upstream. */
+export interface UpstreamRequest {
+  /** Identifies the request, also among sends of it. */
+  readonly id: string;
+  readonly method: string;
+  readonly path: string;
+  /** Alternating names and values. */
+  readonly headers: string[];
+  readonly body: CallBody | undefined;
+  readonly idempotent: boolean;
+  readonly progress?: RequestProgress | undefined;
+  /** Whether a response with these headers belongs to this request; if not, its connection is closed. */
+  readonly isOwnResponse: (status: number, headers: IncomingHttpHeaders) => boolean;
+  /** Called with the headers of such a response as soon as they arrive, before the body. */
+  readonly onOwnResponse: (status: number, headers: IncomingHttpHeaders) => void;
+}
+
+/** A response, or its beginning. Reading the rest throws if the upstream's response is truncated. */
+export interface UpstreamResponse {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  /** The complete body of a small response, about the first 64 KiB of a larger one. */
+  readonly start: Buffer;
+  /** The remaining body; undefined if `start` is complete. */
+  readonly rest: AsyncIterable<Buffer> | undefined;
+  /** The connection on which the request was sent. */
+  readonly connection: ConnectionUse;
+  /** The response is close-delimited: only the end of its connection marks its end (RFC 9112, section 6.3). */
+  readonly isCloseDelimited: boolean;
+}
+
+/** The response on the connection belongs to another request. The upstream may have run this one nevertheless. */
+export class ResponseMismatch extends Error {}
+
+/** A request that is being sent and its response, as a handler of undici's events. */
+export class UpstreamExchange implements Dispatcher.DispatchHandler {
+  private status = 0;
+  private headers: IncomingHttpHeaders = {};
+  private startChunks: Buffer[] = [];
+  private startBytes = 0;
+  private restQueue: AsyncQueue<Buffer | 'end'> | undefined;
+  private bufferedBytes = 0;
+  private isFailed = false;
+  private controller: Dispatcher.DispatchController | undefined;
+  private errorsAtHead: number | undefined;
+  private connection: UpstreamConnection | undefined;
+  private use: ConnectionUse = NO_CONNECTION;
+  private readonly onAbort = () => this.cancel();
+
+  constructor(
+    private readonly request: UpstreamRequest,
+    private readonly signal: CancelSignal,
+    private readonly settle: { resolve: (value: UpstreamResponse) => void; reject: (error: unknown) => void },
+    private readonly connectionErrors: () => number,
+  ) {
+    signal.addEventListener('abort', this.onAbort, { once: true });
+  }
+
+  /** Called with the connection before the request is dispatched on it. */
+  onConnection(connection: UpstreamConnection): void {
+    this.connection = connection;
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.controller = controller;
+    if (this.signal.aborted) return this.cancel();
+    this.use = this.connection?.recordRequest(this.request.id) ?? NO_CONNECTION;
+    const { body } = this.request;
+    if (body === undefined || Buffer.isBuffer(body)) this.reportSent();
+  }
+
+  /** Called when a streamed body has been taken completely. */
+  onStreamedBodyEnd(): void {
+    this.reportSent();
+  }
+
+  onResponseStart(
+    controller: Dispatcher.DispatchController,
+    status: number,
+    headers: IncomingHttpHeaders,
+  ): void {
+    if (status < 200) return;
+    if (!this.request.isOwnResponse(status, headers)) {
+      controller.abort(new ResponseMismatch('The response on the connection belongs to another request.'));
+      return;
+    }
+    this.request.onOwnResponse(status, headers);
+    if (isCloseDelimited(this.request.method, status, headers)) this.errorsAtHead = this.connectionErrors();
+    this.status = status;
+    this.headers = headers;
+  }
+
+  onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (!this.restQueue) {
+      this.startChunks.push(chunk);
+      this.startBytes += chunk.length;
+      if (this.startBytes >= PART_BYTES) this.startStreaming();
+      return;
+    }
+    this.restQueue.push(chunk);
+    this.bufferedBytes += chunk.length;
+    if (this.bufferedBytes > MAX_BUFFERED_BYTES) controller.pause();
+  }
+
+  /**
+   * undici also reports a reset connection as the end of a close-delimited response. Such a response is therefore treated
+   * as truncated if any connection to this upstream failed while it was received.
+   */
+  onResponseEnd(): void {
+    this.signal.removeEventListener('abort', this.onAbort);
+    const mayBeTruncated = this.errorsAtHead !== undefined && this.errorsAtHead !== this.connectionErrors();
+    if (mayBeTruncated) this.fail(new Error('A connection was reset before the end of the response.'));
+    else if (this.restQueue) this.restQueue.push('end');
+    else this.settle.resolve(this.createResponse());
+  }
+
+  onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+    this.signal.removeEventListener('abort', this.onAbort);
+    this.fail(error);
+  }
+
+  private reportSent(): void {
+    if (!this.isFailed) this.request.progress?.onSent(error => this.cancel(error));
+  }
+
+  private cancel(error = this.signal.reason as Error): void {
+    this.fail(error);
+    if (this.controller && !this.controller.aborted) this.controller.abort(error);
+  }
+
+  private fail(error: Error): void {
+    this.isFailed = true;
+    this.request.progress?.onEnd(error instanceof UnqueuedRequest);
+    this.settle.reject(error);
+    this.restQueue?.fail(error);
+  }
+
+  private startStreaming(): void {
+    this.restQueue = new AsyncQueue();
+    this.settle.resolve(this.createResponse(this.readRest(this.restQueue)));
+  }
+
+  private createResponse(rest?: AsyncIterable<Buffer>): UpstreamResponse {
+    const start =
+      this.startChunks.length === 1 && this.startChunks[0]
+        ? this.startChunks[0]
+        : Buffer.concat(this.startChunks);
+    this.startChunks = [];
+    const isDelimitedByClose = this.errorsAtHead !== undefined;
+    return {
+      status: this.status,
+      headers: this.headers,
+      start,
+      rest,
+      connection: this.use,
+      isCloseDelimited: isDelimitedByClose,
+    };
+  }
+
+  private async *readRest(rest: AsyncQueue<Buffer | 'end'>): AsyncGenerator<Buffer> {
+    for (;;) {
+      const chunk = await rest.next();
+      if (chunk === 'end') return;
+      this.bufferedBytes -= chunk.length;
+      if (this.controller?.paused && this.bufferedBytes <= MAX_BUFFERED_BYTES / 2) this.controller.resume();
+      yield chunk;
+    }
+  }
+}
+
+function isCloseDelimited(method: string, status: number, headers: IncomingHttpHeaders): boolean {
+  const hasDelimiter = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+  return !hasDelimiter && method !== 'HEAD' && !BODYLESS_STATUSES.includes(status);
+}
--- a/utils/bundle.mjs
+++ b/utils/bundle.mjs
@@ -61,6 +61,7 @@
       // Adds the API methods to every dispatcher, as the index of undici does.
       contents: `Object.assign(require('undici/lib/dispatcher/dispatcher').prototype, require('undici/lib/api'));
       module.exports = {
+        Client: require('undici/lib/dispatcher/client'),
         Pool: require('undici/lib/dispatcher/pool'),
         buildConnector: require('undici/lib/core/connect'),
         get request() { return require('undici').request; },
