Never send a request twice on one connection to an upstream, and accept refusals without an id on new ones only

Cause: an upstream may send a response a second time, where the next one is expected. The id of the request tells such a copy from the response to another request, but not from that to the next send of the same one. After a refusal the request was sent again on the same connection, and the copy of the refusal counted as "not run" for the second send, which had run. By the same class, a refusal or 421 without an id was accepted on any connection, so that a copy of it refused the next request there.

The other hypothesis, a resend without a refusal, would show no refusal, or another connection.

A refusal without an id counts only as the first response on a connection. So no send can meet a copy that its id doesn't tell.

--- a/packages/calls/src/upstreamConnectionPool.ts
+++ b/packages/calls/src/upstreamConnectionPool.ts
@@ -9,7 +9,10 @@
   readonly maxConnections: number;
 }
 
-/** What a request needs of its connection. */
+/**
+ * What a request needs of its connection. A request is never sent twice on one: an upstream may send a response again, late, and the id of the
+ * request would not tell a copy from the response to the later send.
+ */
 export interface ConnectionDemand {
   readonly requestId: string;
   /** Whether it may be sent on a connection that has carried other requests. */
@@ -53,7 +56,7 @@
     for (const connection of this.connections) {
       if (!connection.isFree) continue;
       if (!connection.isOpen) closed ??= connection;
-      else if (demand.mayReuse) return connection;
+      else if (demand.mayReuse && !connection.hasCarried(demand.requestId)) return connection;
       else unsuitable ??= connection;
     }
     if (closed) return closed;
--- a/packages/calls/src/upstreamDialect.ts
+++ b/packages/calls/src/upstreamDialect.ts
@@ -16,8 +16,13 @@
   readonly requestHeaders: (context: CallContext, instanceId: string) => string[];
   /** Response headers that are not forwarded; lower case. */
   readonly strippedHeaders: ReadonlySet<string>;
-  /** Whether a response with these headers belongs to the request. */
-  readonly isOwnResponse: (status: number, headers: IncomingHttpHeaders, context: CallContext) => boolean;
+  /** Whether a response with these headers belongs to the request. `isFirst`: its connection has carried no other one. */
+  readonly isOwnResponse: (
+    status: number,
+    headers: IncomingHttpHeaders,
+    context: CallContext,
+    isFirst: boolean,
+  ) => boolean;
   /** The instance id in a response to a health check; undefined if there is none. */
   readonly instanceOf: (headers: IncomingHttpHeaders) => string | undefined;
   /** Whether the upstream ran the request or reports that it did not. */
--- a/packages/calls/src/upstreamDispatcher.ts
+++ b/packages/calls/src/upstreamDispatcher.ts
@@ -288,7 +288,7 @@
         body: mayHaveBody(head.method) && !isEmpty ? body : undefined,
         idempotent: route.idempotent,
         progress,
-        isOwnResponse: (status, headers) => dialect.isOwnResponse(status, headers, context),
+        isOwnResponse: (status, headers, isFirst) => dialect.isOwnResponse(status, headers, context, isFirst),
         onOwnResponse: (status, headers) => {
           const meaning = dialect.meaningOf(status, headers);
           progress?.onResponse(meaning === 'answer');
--- a/packages/calls/src/upstreamExchange.ts
+++ b/packages/calls/src/upstreamExchange.ts
@@ -23,8 +23,11 @@
   readonly body: CallBody | undefined;
   readonly idempotent: boolean;
   readonly progress?: RequestProgress | undefined;
-  /** Whether a response with these headers belongs to this request; if not, its connection is closed. */
-  readonly isOwnResponse: (status: number, headers: IncomingHttpHeaders) => boolean;
+  /**
+   * Whether a response with these headers belongs to this request; if not, its connection is closed. `isFirst` states that the connection has
+   * carried no other request.
+   */
+  readonly isOwnResponse: (status: number, headers: IncomingHttpHeaders, isFirst: boolean) => boolean;
   /** Called with the headers of such a response as soon as they arrive, before the body. */
   readonly onOwnResponse: (status: number, headers: IncomingHttpHeaders) => void;
 }
@@ -94,7 +97,7 @@
     headers: IncomingHttpHeaders,
   ): void {
     if (status < 200) return;
-    if (!this.request.isOwnResponse(status, headers)) {
+    if (!this.request.isOwnResponse(status, headers, this.use.requestsBefore === 0)) {
       controller.abort(new ResponseMismatch('The response on the connection belongs to another request.'));
       return;
     }
--- a/packages/standins/src/platform/platformUpstreamStandin.ts
+++ b/packages/standins/src/platform/platformUpstreamStandin.ts
@@ -34,6 +34,10 @@
   | 'respond-before-body'
   /** Refuses the request, and reports that it did not run it. */
   | 'shed'
+  /** The same, and refuses it a second time where the response to the next request on the connection is expected. */
+  | 'shed-twice'
+  /** The same without the id of the request. */
+  | 'shed-twice-without-id'
   /** Reports that another instance has the address. */
   | 'other-instance'
   /** Resets the connection before reading the request. */
@@ -126,6 +130,8 @@
   readonly unqueuedRequests: ReceivedRequest[] = [];
   /** Connections on which it no longer responds. */
   readonly silentSockets = new Set<Socket>();
+  /** Second copies of responses, which are sent at the next request on their connection. */
+  private readonly lateCopies = new WeakMap<Socket, string>();
   private server: Server;
   private readonly slots = new Semaphore(() => this.behaviour.slots);
   private readonly work: UnevenWork;
@@ -273,6 +279,7 @@
       ended: false,
     };
     this.receivedRequests.push(received);
+    this.sendLateCopy(request.socket);
     if (this.silentSockets.has(request.socket) || this.isFull) {
       this.unqueuedRequests.push(received);
       return void this.silentSockets.add(request.socket);
@@ -280,6 +287,8 @@
     const fault = this.behaviour.fault(requestId, received.path);
     if (fault === 'reset-before-request') return void request.socket.resetAndDestroy();
     if (fault === 'shed') return this.write(response, 503, requestId, 'full', { 'Not-Executed': '1' });
+    if (fault === 'shed-twice') return this.shedTwice(request, response, { 'Request-Id': requestId });
+    if (fault === 'shed-twice-without-id') return this.shedTwice(request, response, {});
     const expected = request.headers['expect-instance'];
     if (fault === 'other-instance' || (expected !== undefined && expected !== this.instanceId))
       return this.write(response, 421, requestId, 'other');
@@ -324,6 +333,20 @@
     }
   }
 
+  private shedTwice(request: IncomingMessage, response: ServerResponse, id: Record<string, string>): void {
+    const headers = { ...id, 'Not-Executed': '1', 'Content-Length': '4' };
+    const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
+    this.lateCopies.set(request.socket, `HTTP/1.1 503 Full\r\n${lines.join('')}\r\nfull`);
+    response.writeHead(503, headers);
+    response.end('full');
+  }
+
+  private sendLateCopy(socket: Socket): void {
+    const copy = this.lateCopies.get(socket);
+    this.lateCopies.delete(socket);
+    if (copy !== undefined) socket.write(copy);
+  }
+
   private get isFull(): boolean {
     const { slots, queue } = this.behaviour;
     return this.slots.inUse >= slots && this.slots.waiting >= queue;
