Count responses that are cut off, and trace how their callers can tell

Whether the daemon took a reset of the upstream for an ordinary end, or knew that the response is incomplete and ended it in a way that looks complete, can't be told apart.

Change: one place cuts responses (OpenResponses.cut), for both gateways. It counts them in cleatquay_cut_responses_total by what shows the cut to their callers (a length or chunks, or nothing), and the relay records it in the trace and logs the trace.

--- a/packages/daemon/src/callerGateway.ts
+++ b/packages/daemon/src/callerGateway.ts
@@ -20,6 +20,7 @@
   writeRefusal,
 } from './callerResponse.js';
 import { disconnectSignalOf } from './callerDisconnect.js';
+import { OpenResponses } from './openResponses.js';
 import { gatewaySettings } from './gatewaySettings.js';
 import { type Metrics } from './metrics.js';
 
@@ -40,6 +41,8 @@
 
 /** The moleculer service of the caller API. */
 export function callerGateway(options: CallerGatewayOptions): ServiceSchema {
+  const openResponses = new OpenResponses((_request, { mark }) => options.metrics.responseCut(mark));
+  const writer = { ...nativeResponseWriter, cut: (response: ServerResponse) => openResponses.cut(response) };
   const serve = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
     const disconnect = disconnectSignalOf(request, response);
     const recordEnd = options.metrics.requestStarted();
@@ -53,13 +56,13 @@
       if (shutdownPhase === 'refusing' && parsed.parent === undefined)
         return refuseDuringShutdown(parsed, response);
       const parts = options.ingress.handle(parsed, bodyOf(request), disconnect.signal);
-      const refusal = await writeResponseParts(response, parts, nativeResponseWriter);
+      const refusal = await writeResponseParts(response, parts, writer);
       recordEnd(parsed.service, refusal);
     } catch (error) {
       const failure = asFailure(error);
       const refusal = createRefusal(failure.result, failure.describe());
       recordEnd('', refusal);
-      if (response.headersSent) response.destroy();
+      if (response.headersSent) openResponses.cut(response);
       else writeRefusal(response, refusal);
     }
   };
--- a/packages/daemon/src/callerResponse.ts
+++ b/packages/daemon/src/callerResponse.ts
@@ -72,15 +72,17 @@
   /** Headers in addition to those of the upstream: alternating names and values. */
   readonly addedHeaders: (status: number, request: IncomingMessage) => string[];
   readonly refusal: (response: ServerResponse, refusal: Refusal) => void;
+  /** Ends a response that can't be completed. */
+  readonly cut: (response: ServerResponse) => void;
 }
 
 /** Writes responses of the native interface. */
-export const nativeResponseWriter: ResponseWriter = {
+export const nativeResponseWriter: Omit<ResponseWriter, 'cut'> = {
   addedHeaders: status => [headerNames.outcome, status >= MIN_SERVER_ERROR_STATUS ? 'failed' : 'answered'],
   refusal: writeRefusal,
 };
 
-/** Writes a response; most have a single part. */
+/** Writes a response; most have a single part. If its parts end early after the response head, `writer` cuts it. */
 export async function writeResponse(
   response: ServerResponse,
   { first, rest }: CallResponse,
@@ -90,7 +92,7 @@
   return isComplete || !rest ? first.refusal : writeResponseParts(response, rest, writer);
 }
 
-/** Streams the parts of a response. If they end early after the response head, the connection is destroyed. */
+/** Streams the parts of a response. */
 export async function writeResponseParts(
   response: ServerResponse,
   parts: AsyncIterable<AnswerPart>,
@@ -101,14 +103,14 @@
     if (response.writableNeedDrain) await Promise.race([once(response, 'drain'), once(response, 'close')]);
     if (response.destroyed) return undefined;
   }
-  response.destroy();
+  writer.cut(response);
   return undefined;
 }
 
 /** Writes a part; returns whether it was the last one. */
 function writeResponsePart(response: ServerResponse, part: AnswerPart, writer: ResponseWriter): boolean {
   if (part.refusal) {
-    if (response.headersSent) response.destroy();
+    if (response.headersSent) writer.cut(response);
     else writer.refusal(response, part.refusal);
     return true;
   }
@@ -130,9 +132,19 @@
   const list = [...parseHeaderBlock(headers), ...writer.addedHeaders(status, response.req)];
   if (unframed) delimitByConnectionClose(response);
   else if (length !== undefined) list.push('content-length', String(length));
+  // Callers that speak HTTP/1.0 get no chunks either.
+  if (unframed || (length === undefined && !response.useChunkedEncodingByDefault))
+    closeDelimited.add(response);
   response.writeHead(status, list);
 }
 
+const closeDelimited = new WeakSet<ServerResponse>();
+
+/** Whether only the end of the connection marks the end of a response whose head has been written. */
+export function isCloseDelimited(response: ServerResponse): boolean {
+  return closeDelimited.has(response);
+}
+
 /**
  * Forwards a close-delimited response as such: its length is unknown, and any framing added here would claim that a
  * truncated body is complete.
--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -1,6 +1,7 @@
 /** Prometheus metrics of a daemon. */
 import { resultByCode } from '@cleatquay/errors';
 import { type Refusal } from '@cleatquay/protocol';
+import { type CutMark } from './openResponses.js';
 import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client';
 
 const LATENCY_BUCKETS_SECONDS = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30];
@@ -25,6 +26,13 @@
     registers: [this.registry],
   });
 
+  private readonly cutResponses = new Counter({
+    name: 'cleatquay_cut_responses_total',
+    help: 'Responses that ended before their body was complete, by what shows that to their callers',
+    labelNames: ['mark'],
+    registers: [this.registry],
+  });
+
   private readonly latencies = new Map<string, Histogram.Internal<'service'>>();
   private readonly counters = new Map<string, Counter.Internal>();
 
@@ -56,6 +64,11 @@
     });
   }
 
+  /** Counts a response that ended before its body was complete. */
+  responseCut(mark: CutMark): void {
+    this.cutResponses.inc({ mark });
+  }
+
   /** Starts to measure a request; the returned function is to be called when it has ended. */
   requestStarted(): (service: string, refusal: Refusal | undefined) => void {
     const start = performance.now();
--- a/packages/daemon/src/openResponses.ts
+++ b/packages/daemon/src/openResponses.ts
@@ -1,16 +1,29 @@
 /** The responses that are outstanding on each connection of callers, which may pipeline their requests. */
 import { type IncomingMessage, type ServerResponse } from 'node:http';
 import { type Duplex } from 'node:stream';
+import { isCloseDelimited } from './callerResponse.js';
 
 interface Exchange {
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
 }
 
+/** How the caller of a cut response can tell that it is incomplete. */
+export type CutMark = 'length-or-chunks' | 'none';
+
+/** A response that ended before its body was complete. */
+export interface CutFacts {
+  /** Bytes written to the connection, of all responses. */
+  readonly bytesWritten: number;
+  readonly mark: CutMark;
+}
+
 /** Outstanding responses by connection. */
 export class OpenResponses {
   private readonly bySocket = new WeakMap<Duplex, Set<Exchange>>();
 
+  constructor(private readonly onCut: (request: IncomingMessage, facts: CutFacts) => void) {}
+
   /** Counts a response as outstanding until it is closed. */
   add(request: IncomingMessage, response: ServerResponse): void {
     const { socket } = request;
@@ -31,4 +44,13 @@
     if (!next) return callback();
     next.response.once('close', () => this.whenSent(socket, callback));
   }
+
+  /** Ends a response that can't be completed. */
+  cut(response: ServerResponse): void {
+    if (response.destroyed) return;
+    const { req: request } = response;
+    const mark = isCloseDelimited(response) ? 'none' : 'length-or-chunks';
+    this.onCut(request, { bytesWritten: request.socket.bytesWritten, mark });
+    response.destroy();
+  }
 }
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -39,6 +39,7 @@
 import { operatorGateway } from './operatorGateway.js';
 import { OperatorRequests } from './operatorRequests.js';
 import { createBroker } from './createBroker.js';
+import { type CutFacts } from './openResponses.js';
 import { type CallerDialect, RelayGateway } from './relayGateway.js';
 import { PressureLog } from './pressureLog.js';
 import { OrganisationServices } from './organisationServices.js';
@@ -155,6 +156,7 @@
       scheduler: this.scheduler,
       clock,
       onRequestStart: () => this.onRequestStart(),
+      onResponseCut: (requestId, facts) => this.onResponseCut(requestId, facts),
     });
   }
 
@@ -437,6 +439,13 @@
     };
   }
 
+  private onResponseCut(requestId: string, facts: CutFacts): void {
+    const { decisionTrace } = this.core;
+    this.metrics.responseCut(facts.mark);
+    decisionTrace.record(requestId, 'The response to the caller was cut off.', { ...facts });
+    decisionTrace.requestEnded(requestId, true);
+  }
+
   private isIdle(): boolean {
     return this.inFlight === 0 && this.core.running.size === 0;
   }
--- a/packages/daemon/src/relayGateway.ts
+++ b/packages/daemon/src/relayGateway.ts
@@ -17,7 +17,7 @@
 import { type ResponseWriter, DISCONNECT_REFUSAL, writeResponse } from './callerResponse.js';
 import { disconnectSignalOf } from './callerDisconnect.js';
 import { CallerUpload, handleParserError } from './callerUpload.js';
-import { OpenResponses } from './openResponses.js';
+import { type CutFacts, OpenResponses } from './openResponses.js';
 
 /** Upper bound of header bytes in node's parser; the limit of the configuration is lower. */
 const MAX_HEADER_BYTES = 65_536;
@@ -41,7 +41,7 @@
   readonly strippedHeaders: ReadonlySet<string>;
   /** Lower-case name of the header that carries the caller's API key, if requests need one. */
   readonly credentialsHeader: string;
-  readonly responseWriter: ResponseWriter;
+  readonly responseWriter: Omit<ResponseWriter, 'cut'>;
 }
 
 /** Dependencies of the gateway. */
@@ -56,17 +56,23 @@
   readonly clock: Clock;
   /** Called at the start of each request; the function that it returns is called when the request has ended. */
   readonly onRequestStart: () => (refusal: Refusal | undefined) => void;
+  /** Called when a response is cut: it ends before its body is complete. */
+  readonly onResponseCut: (requestId: string, facts: CutFacts) => void;
 }
 
 /** An HTTP server for callers; `adoptConfiguration` is to be called after each change of the active configuration. */
 export class RelayGateway {
   readonly server: Server;
   private readonly strippedWithKeys: ReadonlySet<string>;
-  private readonly openResponses = new OpenResponses();
+  private readonly openResponses = new OpenResponses((request, facts) =>
+    this.options.onResponseCut(this.options.dialect.requestId(request), facts),
+  );
+  private readonly responseWriter: ResponseWriter;
   private hasEverNeededKeys = false;
 
   constructor(private readonly options: RelayGatewayOptions) {
-    const { strippedHeaders, credentialsHeader } = options.dialect;
+    const { strippedHeaders, credentialsHeader, responseWriter } = options.dialect;
+    this.responseWriter = { ...responseWriter, cut: response => this.openResponses.cut(response) };
     this.strippedWithKeys = new Set([...strippedHeaders, credentialsHeader]);
     this.server = createServer(
       { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0 },
@@ -94,7 +100,7 @@
 
   /** Serves a request from its headers to the end of its response. */
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const { ingress, dialect, scheduler, isShuttingDown, onRequestStart } = this.options;
+    const { ingress, scheduler, isShuttingDown, onRequestStart } = this.options;
     const disconnect = disconnectSignalOf(request, response);
     const onRequestEnd = onRequestStart();
     this.openResponses.add(request, response);
@@ -113,12 +119,12 @@
       );
       // Most responses have a single part, and may close before the next line resolves.
       refusal = callResponse.first.refusal;
-      refusal = await writeResponse(response, callResponse, dialect.responseWriter);
+      refusal = await writeResponse(response, callResponse, this.responseWriter);
     } catch (error) {
       const failure = asFailure(error);
       refusal = createRefusal(failure.result, failure.describe());
-      if (response.headersSent) response.destroy();
-      else dialect.responseWriter.refusal(response, refusal);
+      if (response.headersSent) this.openResponses.cut(response);
+      else this.responseWriter.refusal(response, refusal);
     }
   }
 
--- a/tests/disconnectedCallers.spec.ts
+++ b/tests/disconnectedCallers.spec.ts
@@ -90,6 +90,7 @@
         scheduler: new RequestScheduler(clock, () => pressure.isLagging),
         clock,
         onRequestStart: () => () => undefined,
+        onResponseCut: () => undefined,
       });
       gateway.server.listen(0, '127.0.0.1');
       await once(gateway.server, 'listening');
--- a/tests/slowReaders.spec.ts
+++ b/tests/slowReaders.spec.ts
@@ -38,6 +38,7 @@
         inFlight++;
         return () => inFlight--;
       },
+      onResponseCut: () => undefined,
     });
     gateway.server.listen(0, '127.0.0.1');
     await once(gateway.server, 'listening');
