Reset the connection of a response that is cut off if nothing else shows its caller that it is incomplete

Cause: whatever ended a response early destroyed the socket, which sends a FIN. The daemon knew that the response was incomplete.

Change: OpenResponses.cut resets the connection of a response that has neither a length nor chunks, also for callers that speak HTTP/1.0 and at the end of a shutdown. A reset discards what is on the way, so that it waits until a second after an earlier response on the connection was handed to the kernel.

--- a/packages/calls/src/index.ts
+++ b/packages/calls/src/index.ts
@@ -1,6 +1,6 @@
 /** Carries a request from its caller through the daemons to an upstream, with deadlines, retries and at-most-once execution. */
 export { type ResponseNotice, EMPTY_NOTICE, parseNotice, isValidRate } from './responseNotice.js';
-export { BodyChecksum, replay } from './responses.js';
+export { BodyChecksum, createPart, replay } from './responses.js';
 export {
   type CallResponse,
   type CallBody,
--- a/packages/daemon/src/callerGateway.ts
+++ b/packages/daemon/src/callerGateway.ts
@@ -7,6 +7,7 @@
   type RequestScheduler,
   headerNames,
 } from '@cleatquay/calls';
+import { type Clock } from '@cleatquay/clock';
 import { asFailure } from '@cleatquay/errors';
 import { createRefusal } from '@cleatquay/protocol';
 import { type ServiceSchema } from 'moleculer';
@@ -28,6 +29,7 @@
 export interface CallerGatewayOptions {
   readonly ip: string;
   readonly port: number;
+  readonly clock: Clock;
   readonly ingress: Ingress;
   readonly metrics: Metrics;
   /** Whether requests have to carry an API key. */
@@ -41,10 +43,15 @@
 
 /** The moleculer service of the caller API. */
 export function callerGateway(options: CallerGatewayOptions): ServiceSchema {
-  const openResponses = new OpenResponses((_request, { mark }) => options.metrics.responseCut(mark));
+  const { clock, metrics } = options;
+  const openResponses = new OpenResponses({
+    clock,
+    onCut: (_request, { mark }) => metrics.responseCut(mark),
+  });
   const writer = { ...nativeResponseWriter, cut: (response: ServerResponse) => openResponses.cut(response) };
   const serve = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
     const disconnect = disconnectSignalOf(request, response);
+    openResponses.add(request, response);
     const recordEnd = options.metrics.requestStarted();
     const shutdownPhase = options.shutdownPhase();
     if (shutdownPhase) response.setHeader('connection', 'close');
--- a/packages/daemon/src/callerUpload.ts
+++ b/packages/daemon/src/callerUpload.ts
@@ -13,12 +13,15 @@
 /** The uploads that are being received, for errors of their connections. */
 const receiving = new WeakMap<Duplex, CallerUpload>();
 
-/** Handles an error of the HTTP parser on a connection: a body that breaks off is one, too. */
-export function handleParserError(error: Error & { code?: string }, socket: Duplex): void {
+/**
+ * Handles an error of the HTTP parser on a connection: a body that breaks off is one, too. `close` ends the connection and the response that is being
+ * sent on it.
+ */
+export function handleParserError(error: Error & { code?: string }, socket: Duplex, close: () => void): void {
   const upload = receiving.get(socket);
   if (!upload) return writeHttpParserError(error, socket);
   // A caller would take an error that follows a part of a response for the rest of it.
-  if (upload.hasResponded) socket.destroy();
+  if (upload.hasResponded) close();
   else writeHttpParserError(error, socket, 'bodyIncomplete');
 }
 
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -282,11 +282,12 @@
   }
 
   private async startListening(): Promise<void> {
-    const { settings } = this.options;
+    const { settings, clock, log } = this.options;
     const callers = this.broker.createService(
       callerGateway({
         ip: settings.ip,
         port: settings.callerPort,
+        clock,
         ingress: this.ingress,
         metrics: this.metrics,
         needsKeys: () => this.organisations.needsKeys,
@@ -311,7 +312,6 @@
         setDraining: draining => this.upstreams.setDraining(draining),
       }),
     );
-    const { clock, log } = this.options;
     const warn = (message: string, facts: object) => log.warn(facts, message);
     new OperatorRequests({ clock, metrics: this.metrics, log: warn }).watch(serverOf(operators));
     await startServers(this.broker, [serverOf(callers), serverOf(operators)]);
--- a/packages/daemon/src/openResponses.ts
+++ b/packages/daemon/src/openResponses.ts
@@ -1,15 +1,26 @@
 /** The responses that are outstanding on each connection of callers, which may pipeline their requests. */
+import { type Clock } from '@cleatquay/clock';
 import { type IncomingMessage, type ServerResponse } from 'node:http';
+import { type Socket } from 'node:net';
 import { type Duplex } from 'node:stream';
 import { isCloseDelimited } from './callerResponse.js';
 
+/** Time that a caller has to receive an earlier response before its connection may be reset: a reset discards what is on the way. */
+const DELIVERY_MS = 1000;
+
 interface Exchange {
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
 }
 
-/** How the caller of a cut response can tell that it is incomplete. */
-export type CutMark = 'length-or-chunks' | 'none';
+interface CallerConnection {
+  readonly exchanges: Set<Exchange>;
+  /** When the latest response that is complete was handed to the kernel, clock time in ms. */
+  lastCompleteAt: number;
+}
+
+/** How the caller of a cut response can tell that it is incomplete: by its length or chunks, or by the reset of its connection. */
+export type CutMark = 'length-or-chunks' | 'reset';
 
 /** A response that ended before its body was complete. */
 export interface CutFacts {
@@ -18,20 +29,30 @@
   readonly mark: CutMark;
 }
 
+/** Dependencies of the register. */
+export interface OpenResponsesOptions {
+  readonly clock: Clock;
+  readonly onCut: (request: IncomingMessage, facts: CutFacts) => void;
+}
+
 /** Outstanding responses by connection. */
 export class OpenResponses {
-  private readonly bySocket = new WeakMap<Duplex, Set<Exchange>>();
+  private readonly connections = new WeakMap<Duplex, CallerConnection>();
+  private readonly open = new Set<ServerResponse>();
 
-  constructor(private readonly onCut: (request: IncomingMessage, facts: CutFacts) => void) {}
+  constructor(private readonly options: OpenResponsesOptions) {}
 
   /** Counts a response as outstanding until it is closed. */
   add(request: IncomingMessage, response: ServerResponse): void {
-    const { socket } = request;
-    const exchanges = this.bySocket.get(socket) ?? new Set();
-    this.bySocket.set(socket, exchanges);
+    const connection = this.connectionOf(request.socket);
     const exchange = { request, response };
-    exchanges.add(exchange);
-    response.once('close', () => exchanges.delete(exchange));
+    connection.exchanges.add(exchange);
+    this.open.add(response);
+    response.once('close', () => {
+      connection.exchanges.delete(exchange);
+      this.open.delete(response);
+      if (response.writableFinished) connection.lastCompleteAt = this.options.clock.now();
+    });
   }
 
   /**
@@ -39,18 +60,51 @@
    * to invalid input must not be taken for one of theirs.
    */
   whenSent(socket: Duplex, callback: () => void): void {
-    const exchanges = this.bySocket.get(socket);
+    const exchanges = this.connections.get(socket)?.exchanges;
     const next = exchanges && [...exchanges].find(({ request }) => request.complete);
     if (!next) return callback();
     next.response.once('close', () => this.whenSent(socket, callback));
   }
 
-  /** Ends a response that can't be completed. */
+  /**
+   * Ends a response that can't be completed so that its caller can tell. An ordinary end of the connection would complete a response that has
+   * neither a length nor chunks; its connection is reset.
+   */
   cut(response: ServerResponse): void {
-    if (response.destroyed) return;
+    const { clock, onCut } = this.options;
+    if (response.destroyed || response.writableFinished) return;
     const { req: request } = response;
-    const mark = isCloseDelimited(response) ? 'none' : 'length-or-chunks';
-    this.onCut(request, { bytesWritten: request.socket.bytesWritten, mark });
-    response.destroy();
+    const mark = isCloseDelimited(response) ? 'reset' : 'length-or-chunks';
+    onCut(request, { bytesWritten: request.socket.bytesWritten, mark });
+    // Without its socket, the response waits for an earlier one, and nothing of it has been sent.
+    if (mark === 'length-or-chunks' || !response.socket) return void response.destroy();
+    const { lastCompleteAt } = this.connectionOf(request.socket);
+    const waitMs = lastCompleteAt + DELIVERY_MS - clock.now();
+    if (waitMs <= 0) request.socket.resetAndDestroy();
+    else clock.after(waitMs, () => request.socket.resetAndDestroy());
+  }
+
+  /** Cuts the responses that would look complete if their connections were closed now. */
+  cutCloseDelimited(): void {
+    for (const response of this.open)
+      if (response.socket && !response.writableFinished && isCloseDelimited(response))
+        response.req.socket.resetAndDestroy();
+  }
+
+  /** Closes a connection whose request is invalid, and cuts a response that is being sent on it. */
+  closeConnection(socket: Socket): void {
+    const current = [...(this.connections.get(socket)?.exchanges ?? [])].find(
+      ({ response }) => response.socket === socket && response.headersSent,
+    );
+    if (current) this.cut(current.response);
+    else socket.destroy();
+  }
+
+  private connectionOf(socket: Duplex): CallerConnection {
+    const known = this.connections.get(socket);
+    if (known) return known;
+    const connection = { exchanges: new Set<Exchange>(), lastCompleteAt: Number.NEGATIVE_INFINITY };
+    this.connections.set(socket, connection);
+    return connection;
   }
 }
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -247,6 +247,7 @@
     await this.options.clock.sleep(RESPONSE_FLUSH_MS);
     this.logShutdown('Daemon: Closing the connections of callers.');
     // Requests still in flight have used up the grace period; a server that closes would wait for them.
+    this.gateway.cutOpenResponses();
     this.listeners.closeConnections();
     await this.broker.stop();
     await this.updater[Symbol.asyncDispose]();
--- a/packages/daemon/src/relayGateway.ts
+++ b/packages/daemon/src/relayGateway.ts
@@ -14,6 +14,7 @@
 import { type Credentials, parseCredentials } from '@cleatquay/organisations';
 import { type RouteLimits } from '@cleatquay/routes';
 import { type IncomingMessage, type Server, type ServerResponse, createServer } from 'node:http';
+import { type Socket } from 'node:net';
 import { type ResponseWriter, DISCONNECT_REFUSAL, writeResponse } from './callerResponse.js';
 import { disconnectSignalOf } from './callerDisconnect.js';
 import { CallerUpload, handleParserError } from './callerUpload.js';
@@ -64,14 +65,17 @@
 export class RelayGateway {
   readonly server: Server;
   private readonly strippedWithKeys: ReadonlySet<string>;
-  private readonly openResponses = new OpenResponses((request, facts) =>
-    this.options.onResponseCut(this.options.dialect.requestId(request), facts),
-  );
+  private readonly openResponses: OpenResponses;
   private readonly responseWriter: ResponseWriter;
   private hasEverNeededKeys = false;
 
   constructor(private readonly options: RelayGatewayOptions) {
-    const { strippedHeaders, credentialsHeader, responseWriter } = options.dialect;
+    const { clock, onResponseCut } = options;
+    const { strippedHeaders, credentialsHeader, responseWriter, requestId } = options.dialect;
+    this.openResponses = new OpenResponses({
+      clock,
+      onCut: (request, facts) => onResponseCut(requestId(request), facts),
+    });
     this.responseWriter = { ...responseWriter, cut: response => this.openResponses.cut(response) };
     this.strippedWithKeys = new Set([...strippedHeaders, credentialsHeader]);
     this.server = createServer(
@@ -81,7 +85,7 @@
       },
     );
     this.server.on('clientError', (error, socket) => {
-      this.openResponses.whenSent(socket, () => handleParserError(error, socket));
+      this.openResponses.whenSent(socket, () => this.handleParserError(error, socket as Socket));
     });
     this.adoptConfiguration();
   }
@@ -94,6 +98,15 @@
     this.server.keepAliveTimeout = idleTimeoutMs;
   }
 
+  /** Ends the responses that are incomplete, so that their callers can tell; the connections are to be closed next. */
+  cutOpenResponses(): void {
+    this.openResponses.cutCloseDelimited();
+  }
+
+  private handleParserError(error: Error, socket: Socket): void {
+    handleParserError(error, socket, () => this.openResponses.closeConnection(socket));
+  }
+
   private get limits(): RouteLimits {
     return this.options.limits() ?? DEFAULT_LIMITS;
   }
