--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -41,6 +41,7 @@
 import { createBroker } from './createBroker.js';
 import { type CutFacts } from './openResponses.js';
 import { type CallerDialect, RelayGateway } from './relayGateway.js';
+import { UnreadBodies } from './unreadBodies.js';
 import { PressureLog } from './pressureLog.js';
 import { OrganisationServices } from './organisationServices.js';
 import { addDaemonGauges } from './daemonGauges.js';
@@ -156,6 +157,11 @@
       scheduler: this.scheduler,
       clock,
       onRequestStart: () => this.onRequestStart(),
+      unreadBodies: new UnreadBodies({
+        clock,
+        metrics: this.metrics,
+        log: (message, facts) => log.warn(facts, message),
+      }),
       onResponseCut: (requestId, facts) => this.onResponseCut(requestId, facts),
     });
   }
--- a/packages/daemon/src/relayGateway.ts
+++ b/packages/daemon/src/relayGateway.ts
@@ -19,6 +19,7 @@
 import { disconnectSignalOf } from './callerDisconnect.js';
 import { CallerUpload, handleParserError } from './callerUpload.js';
 import { type CutFacts, OpenResponses } from './openResponses.js';
+import { type UnreadBodies } from './unreadBodies.js';
 
 /** Upper bound of header bytes in node's parser; the limit of the configuration is lower. */
 const MAX_HEADER_BYTES = 65_536;
@@ -59,6 +60,7 @@
   readonly onRequestStart: () => (refusal: Refusal | undefined) => void;
   /** Called when a response is cut: it ends before its body is complete. */
   readonly onResponseCut: (requestId: string, facts: CutFacts) => void;
+  readonly unreadBodies: UnreadBodies;
 }
 
 /** An HTTP server for callers; `adoptConfiguration` is to be called after each change of the active configuration. */
@@ -117,6 +119,7 @@
     const disconnect = disconnectSignalOf(request, response);
     const onRequestEnd = onRequestStart();
     this.openResponses.add(request, response);
+    if (hasBody(request)) this.options.unreadBodies.follow(request, response);
     let refusal: Refusal | undefined;
     // In flight until the last byte is sent: a daemon that shuts down closes its connections once no request is in flight.
     response.on('close', () => onRequestEnd(response.writableFinished ? refusal : DISCONNECT_REFUSAL));
@@ -174,8 +177,8 @@
   }
 
   private bodyOf(request: IncomingMessage, response: ServerResponse): CallBody {
+    if (!hasBody(request)) return EMPTY_BODY;
     const { 'content-length': length, 'transfer-encoding': encoding } = request.headers;
-    if (length === undefined && encoding === undefined) return EMPTY_BODY;
     if (Number(length ?? 0) > this.limits.bodyBytes) throw bodyTooLarge(this.limits);
     const { limits } = this;
     const body = encoding === undefined ? request : limitBody(request, limits);
@@ -187,6 +190,10 @@
   }
 }
 
+function hasBody({ headers }: IncomingMessage): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+}
+
 async function* limitBody(request: IncomingMessage, limits: RouteLimits): AsyncIterable<Uint8Array> {
   let bytes = 0;
   for await (const chunk of request as AsyncIterable<Buffer>) {
--- a/tests/cutResponses.spec.ts
+++ b/tests/cutResponses.spec.ts
@@ -1,12 +1,11 @@
-import { type CallResponse, RequestScheduler, createPart } from '@cleatquay/calls';
-import { SystemClock } from '@cleatquay/clock';
-import { RelayGateway } from '@cleatquay/daemon';
-import { callerDialect } from '@cleatquay/platform';
+import { type CallResponse, createPart } from '@cleatquay/calls';
+import { type RelayGateway } from '@cleatquay/daemon';
 import { type AnswerPart, createRefusal, refusalPart } from '@cleatquay/protocol';
 import { expect } from 'chai';
 import { once } from 'node:events';
 import { type AddressInfo, type Socket, connect } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { startGateway } from './fixtures/callerGateway.js';
 import { PlatformFleet, routeTo } from './fixtures/platformFleet.js';
 
 const PART = Buffer.alloc(70_000, 'x');
@@ -50,22 +49,13 @@
     unframed = true;
     cuts = [];
     rest = () => noParts();
-    gateway = new RelayGateway({
+    gateway = await startGateway({
       ingress: {
         handle: ({ path }) =>
           Promise.resolve(path === '/long' ? longResponse() : { first: firstPart(), rest: rest() }),
       },
-      dialect: callerDialect,
-      limits: () => undefined,
-      needsKeys: () => false,
-      isShuttingDown: () => false,
-      scheduler: new RequestScheduler(new SystemClock(), () => false),
-      clock: new SystemClock(),
-      onRequestStart: () => () => undefined,
       onResponseCut: (_requestId, { mark }) => cuts.push(mark),
     });
-    gateway.server.listen(0, '127.0.0.1');
-    await once(gateway.server, 'listening');
   });
 
   afterEach(() => {
--- a/tests/disconnectedCallers.spec.ts
+++ b/tests/disconnectedCallers.spec.ts
@@ -18,14 +18,13 @@
 import { ProcessorPressure } from '@cleatquay/admission';
 import { RequestScheduler, singlePartResponse } from '@cleatquay/calls';
 import { SystemClock } from '@cleatquay/clock';
-import { RelayGateway } from '@cleatquay/daemon';
-import { callerDialect } from '@cleatquay/platform';
+import { type RelayGateway } from '@cleatquay/daemon';
 import { refusalPart, createRefusal } from '@cleatquay/protocol';
 import { expect } from 'chai';
-import { once } from 'node:events';
 import { type AddressInfo } from 'node:net';
 import { DisconnectingCallers } from './fixtures/disconnectingCallers.js';
 import { PlatformFleet, routeTo } from './fixtures/platformFleet.js';
+import { startGateway } from './fixtures/callerGateway.js';
 
 /** Time between a caller's request and its disconnect, ms. */
 const DISCONNECT_AFTER_MS = 100;
@@ -75,7 +74,7 @@
     beforeEach(async () => {
       forwardedAt = [];
       pressure = new ProcessorPressure(clock, () => 1);
-      gateway = new RelayGateway({
+      gateway = await startGateway({
         ingress: {
           handle: () => {
             forwardedAt.push(Date.now());
@@ -83,17 +82,9 @@
             return Promise.resolve(singlePartResponse(refusalPart(createRefusal('overloaded', ''), 0)));
           },
         },
-        dialect: callerDialect,
-        limits: () => undefined,
-        needsKeys: () => false,
-        isShuttingDown: () => false,
         scheduler: new RequestScheduler(clock, () => pressure.isLagging),
         clock,
-        onRequestStart: () => () => undefined,
-        onResponseCut: () => undefined,
       });
-      gateway.server.listen(0, '127.0.0.1');
-      await once(gateway.server, 'listening');
     });
 
     afterEach(() => {
--- a/tests/slowReaders.spec.ts
+++ b/tests/slowReaders.spec.ts
@@ -1,11 +1,10 @@
-import { RequestScheduler, singlePartResponse, replay } from '@cleatquay/calls';
-import { SystemClock } from '@cleatquay/clock';
-import { RelayGateway } from '@cleatquay/daemon';
-import { callerDialect } from '@cleatquay/platform';
+import { singlePartResponse, replay } from '@cleatquay/calls';
+import { type RelayGateway } from '@cleatquay/daemon';
 import { expect } from 'chai';
 import { once } from 'node:events';
 import { type AddressInfo, connect } from 'node:net';
 import { until } from './fixtures/platformFleet.js';
+import { startGateway } from './fixtures/callerGateway.js';
 
 /** Far more than fits into the buffers of a connection. */
 const RESPONSE_BYTES = 32 * 1_048_576;
@@ -21,27 +20,18 @@
   beforeEach(async () => {
     inFlight = 0;
     const body = Buffer.alloc(RESPONSE_BYTES);
-    gateway = new RelayGateway({
+    gateway = await startGateway({
       ingress: {
         handle: () =>
           Promise.resolve(
             singlePartResponse(replay({ head: { status: 200, headers: '', unframed: false }, body })),
           ),
       },
-      dialect: callerDialect,
-      limits: () => undefined,
-      needsKeys: () => false,
-      isShuttingDown: () => false,
-      scheduler: new RequestScheduler(new SystemClock(), () => false),
-      clock: new SystemClock(),
       onRequestStart: () => {
         inFlight++;
         return () => inFlight--;
       },
-      onResponseCut: () => undefined,
     });
-    gateway.server.listen(0, '127.0.0.1');
-    await once(gateway.server, 'listening');
   });
 
   afterEach(() => {
