Read what is left of a request's body once its response is complete, within limits

Cause: the first 64 KiB of a body are read before its request is forwarded, and node discards the rest by itself only if nothing was read. So the connection stayed paused, with the next request behind the rest, and did not even see that its caller closed it.

Change: CallerBody, formerly for uploads only, reads all bodies of both gateways, and discards the rest when the response is complete. UnreadBodies bounds it: as many bytes as a body may have, and the idle timeout in all, also for a sender that trickles; then the connection is closed, counted and logged.

--- a/packages/daemon/src/callerGateway.ts
+++ b/packages/daemon/src/callerGateway.ts
@@ -1,6 +1,5 @@
 /** The native caller API: a moleculer-web gateway that passes every request to the ingress. */
 import {
-  type CallBody,
   type CallerRequest,
   EMPTY_BODY,
   type Ingress,
@@ -22,8 +21,13 @@
 } from './callerResponse.js';
 import { disconnectSignalOf } from './callerDisconnect.js';
 import { OpenResponses } from './openResponses.js';
+import { CallerBody, type BodyLimits, hasBody } from './callerBody.js';
 import { gatewaySettings } from './gatewaySettings.js';
 import { type Metrics } from './metrics.js';
+import { type UnreadBodies } from './unreadBodies.js';
+
+/** The native interface bounds no body. */
+const BODY_LIMITS: BodyLimits = { bodyBytes: Number.POSITIVE_INFINITY, idleTimeoutMs: 15_000 };
 
 /** Dependencies of the gateway. */
 export interface CallerGatewayOptions {
@@ -32,6 +36,7 @@
   readonly clock: Clock;
   readonly ingress: Ingress;
   readonly metrics: Metrics;
+  readonly unreadBodies: UnreadBodies;
   /** Whether requests have to carry an API key. */
   readonly needsKeys: () => boolean;
   /** How far the shutdown of the daemon has got; undefined while it runs. */
@@ -52,6 +57,7 @@
   const serve = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
     const disconnect = disconnectSignalOf(request, response);
     openResponses.add(request, response);
+    if (hasBody(request)) options.unreadBodies.follow(request, response, BODY_LIMITS);
     const recordEnd = options.metrics.requestStarted();
     const shutdownPhase = options.shutdownPhase();
     if (shutdownPhase) response.setHeader('connection', 'close');
@@ -62,7 +68,8 @@
       const parsed: CallerRequest = { ...parseCallerRequest(request, options.needsKeys()), onRequestId };
       if (shutdownPhase === 'refusing' && parsed.parent === undefined)
         return refuseDuringShutdown(parsed, response);
-      const parts = options.ingress.handle(parsed, bodyOf(request), disconnect.signal);
+      const body = hasBody(request) ? new CallerBody(clock, request, response, BODY_LIMITS) : EMPTY_BODY;
+      const parts = options.ingress.handle(parsed, body, disconnect.signal);
       const refusal = await writeResponseParts(response, parts, writer);
       recordEnd(parsed.service, refusal);
     } catch (error) {
@@ -107,12 +114,6 @@
   );
 }
 
-function bodyOf(request: IncomingMessage): CallBody {
-  const hasBody =
-    request.headers['content-length'] !== undefined || request.headers['transfer-encoding'] !== undefined;
-  return hasBody ? request : EMPTY_BODY;
-}
-
 const MAX_ISSUED_IDS = 1000;
 
 /** Issues request ids for later use: POST /cleatquay/ids?count=10 */
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -30,6 +30,7 @@
 import { FaultHooks } from './faultHooks.js';
 import { Metrics } from './metrics.js';
 import { operatorGateway } from './operatorGateway.js';
+import { UnreadBodies } from './unreadBodies.js';
 import { OperatorRequests } from './operatorRequests.js';
 import { listenAddress, serverOf, startServers } from './httpListeners.js';
 import { addOrganisationGauges } from './organisationGauges.js';
@@ -283,6 +284,7 @@
 
   private async startListening(): Promise<void> {
     const { settings, clock, log } = this.options;
+    const warn = (message: string, facts: object) => log.warn(facts, message);
     const callers = this.broker.createService(
       callerGateway({
         ip: settings.ip,
@@ -290,6 +292,7 @@
         clock,
         ingress: this.ingress,
         metrics: this.metrics,
+        unreadBodies: new UnreadBodies({ clock, metrics: this.metrics, log: warn }),
         needsKeys: () => this.organisations.needsKeys,
         shutdownPhase: () => this.shutdownPhase,
         scheduler: this.scheduler,
@@ -312,7 +315,6 @@
         setDraining: draining => this.upstreams.setDraining(draining),
       }),
     );
-    const warn = (message: string, facts: object) => log.warn(facts, message);
     new OperatorRequests({ clock, metrics: this.metrics, log: warn }).watch(serverOf(operators));
     await startServers(this.broker, [serverOf(callers), serverOf(operators)]);
     const server = serverOf(callers);
--- a/packages/daemon/src/relayGateway.ts
+++ b/packages/daemon/src/relayGateway.ts
@@ -5,7 +5,6 @@
   type Relay,
   type RelayedRequest,
   type RequestScheduler,
-  type UploadableBody,
   forwardedRawHeaders,
 } from '@cleatquay/calls';
 import { type Clock } from '@cleatquay/clock';
@@ -17,7 +16,7 @@
 import { type Socket } from 'node:net';
 import { type ResponseWriter, DISCONNECT_REFUSAL, writeResponse } from './callerResponse.js';
 import { disconnectSignalOf } from './callerDisconnect.js';
-import { CallerUpload, handleParserError } from './callerUpload.js';
+import { CallerBody, bodyTooLarge, handleParserError, hasBody } from './callerBody.js';
 import { type CutFacts, OpenResponses } from './openResponses.js';
 import { type UnreadBodies } from './unreadBodies.js';
 
@@ -119,7 +118,7 @@
     const disconnect = disconnectSignalOf(request, response);
     const onRequestEnd = onRequestStart();
     this.openResponses.add(request, response);
-    if (hasBody(request)) this.options.unreadBodies.follow(request, response);
+    if (hasBody(request)) this.options.unreadBodies.follow(request, response, this.limits);
     let refusal: Refusal | undefined;
     // In flight until the last byte is sent: a daemon that shuts down closes its connections once no request is in flight.
     response.on('close', () => onRequestEnd(response.writableFinished ? refusal : DISCONNECT_REFUSAL));
@@ -178,31 +177,8 @@
 
   private bodyOf(request: IncomingMessage, response: ServerResponse): CallBody {
     if (!hasBody(request)) return EMPTY_BODY;
-    const { 'content-length': length, 'transfer-encoding': encoding } = request.headers;
-    if (Number(length ?? 0) > this.limits.bodyBytes) throw bodyTooLarge(this.limits);
     const { limits } = this;
-    const body = encoding === undefined ? request : limitBody(request, limits);
-    const uploadable: UploadableBody = {
-      [Symbol.asyncIterator]: () => body[Symbol.asyncIterator](),
-      openUpload: () => new CallerUpload(this.options.clock, request, response, limits),
-    };
-    return uploadable;
-  }
-}
-
-function hasBody({ headers }: IncomingMessage): boolean {
-  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-}
-
-async function* limitBody(request: IncomingMessage, limits: RouteLimits): AsyncIterable<Uint8Array> {
-  let bytes = 0;
-  for await (const chunk of request as AsyncIterable<Buffer>) {
-    bytes += chunk.length;
-    if (bytes > limits.bodyBytes) throw bodyTooLarge(limits);
-    yield chunk;
+    if (Number(request.headers['content-length'] ?? 0) > limits.bodyBytes) throw bodyTooLarge(limits);
+    return new CallerBody(this.options.clock, request, response, limits);
   }
 }
-
-function bodyTooLarge({ bodyBytes }: RouteLimits): Failure {
-  return new Failure(`Expected a body of at most ${String(bodyBytes)} bytes.`, { result: 'requestTooLarge' });
-}
--- a/packages/daemon/src/unreadBodies.ts
+++ b/packages/daemon/src/unreadBodies.ts
@@ -1,67 +1,90 @@
-/** Follows requests whose response is complete while a part of their body has not been read: their connections carry nothing else meanwhile. */
-import { type Clock, type Timer } from '@cleatquay/clock';
+/**
+ * Bounds what is read of a request's body after its response. The connection carries nothing else meanwhile, so that the rest has to be
+ * read, but not for good.
+ */
+import { type Clock } from '@cleatquay/clock';
 import { type IncomingMessage, type ServerResponse } from 'node:http';
+import { type BodyLimits } from './callerBody.js';
 import { type Metrics } from './metrics.js';
 
-/** An unread body is logged after this time, ms. */
-const LATE_MS = 3000;
-/** Lines of one daemon; further ones show in the gauges only. */
+/** How often the limits of a rest are checked, ms. */
+const CHECK_INTERVAL_MS = 250;
+/** Log lines of one daemon; further closed connections show in the counter only. */
 const MAX_LINES = 100;
 
-/** Dependencies of the watch. */
+/** Dependencies. */
 export interface UnreadBodiesOptions {
   readonly clock: Clock;
   readonly metrics: Metrics;
   readonly log: (message: string, facts: object) => void;
 }
 
+/** What is left of a body whose response is complete. */
+interface Rest {
+  readonly request: IncomingMessage;
+  readonly limits: BodyLimits;
+  /** When the response was complete, clock time in ms. */
+  readonly answeredAt: number;
+  /** Bytes that the connection had received by then. */
+  readonly bytesBefore: number;
+}
+
 /** The requests of callers that have a response and an unread rest of their body. */
 export class UnreadBodies {
-  /** When their responses were complete, clock time in ms. */
-  private readonly answeredAt = new Map<IncomingMessage, number>();
-  private lines = 0;
+  private readonly rests = new Set<Rest>();
+  private closed = 0;
 
   constructor(private readonly options: UnreadBodiesOptions) {
     const { metrics } = options;
-    metrics.gauge(
-      'cleatquay_unread_bodies',
+    const gauge = (name: string, help: string, read: () => number) =>
+      metrics.gauge(`cleatquay_${name}`, help, read);
+    gauge(
+      'unread_bodies',
       'Requests with a complete response of whose body a part is unread',
-      () => this.answeredAt.size,
+      () => this.rests.size,
     );
-    metrics.gauge(
-      'cleatquay_unread_body_age_ms',
-      'Time since the oldest of these responses',
-      () => this.oldestMs,
+    gauge('unread_body_age_ms', 'Time since the oldest of these responses', () => this.oldestMs);
+    gauge(
+      'unread_bodies_closed',
+      'Connections that were closed since the rest of a body took too long',
+      () => this.closed,
     );
   }
 
   private get oldestMs(): number {
-    const [oldest] = this.answeredAt.values();
-    return oldest === undefined ? 0 : this.options.clock.now() - oldest;
+    const [oldest] = this.rests;
+    return oldest === undefined ? 0 : this.options.clock.now() - oldest.answeredAt;
   }
 
-  /** Follows a request with a body. */
-  follow(request: IncomingMessage, response: ServerResponse): void {
+  /**
+   * Follows a request with a body. Once its response is complete, the rest may be as long as a body, and take `idleTimeoutMs` in all; then its
+   * connection is closed.
+   */
+  follow(request: IncomingMessage, response: ServerResponse, limits: BodyLimits): void {
     response.once('finish', () => {
-      if (!request.complete) this.watch(request);
+      if (request.complete) return;
+      const answeredAt = this.options.clock.now();
+      const rest = { request, limits, answeredAt, bytesBefore: request.socket.bytesRead };
+      this.rests.add(rest);
+      this.check(rest);
     });
   }
 
-  private watch(request: IncomingMessage): void {
+  private check(rest: Rest): void {
     const { clock } = this.options;
-    this.answeredAt.set(request, clock.now());
-    const timer: Timer = clock.after(LATE_MS, () => this.logLate(request));
-    request.once('close', () => {
-      this.answeredAt.delete(request);
-      timer[Symbol.dispose]();
-    });
+    const { request, limits, answeredAt, bytesBefore } = rest;
+    if (request.complete || request.socket.destroyed) return void this.rests.delete(rest);
+    const bytes = request.socket.bytesRead - bytesBefore;
+    const forMs = clock.now() - answeredAt;
+    if (bytes > limits.bodyBytes || forMs >= limits.idleTimeoutMs) return this.close(rest, bytes, forMs);
+    clock.after(CHECK_INTERVAL_MS, () => this.check(rest));
   }
 
-  private logLate(request: IncomingMessage): void {
-    if (++this.lines > MAX_LINES) return;
-    const { bytesRead } = request.socket;
-    const contentLength = Number(request.headers['content-length'] ?? 0);
-    const facts = { path: request.url, bytesRead, contentLength, forMs: LATE_MS };
-    this.options.log('Callers: The rest of the body of an answered request is unread.', facts);
+  private close(rest: Rest, bytes: number, forMs: number): void {
+    this.rests.delete(rest);
+    rest.request.socket.destroy();
+    if (++this.closed > MAX_LINES) return;
+    const facts = { path: rest.request.url, bytes, forMs: Math.round(forMs) };
+    this.options.log('Callers: Closed a connection, since the rest of a body took too long.', facts);
   }
 }
