Judge the end of a response by the failure of its own connection only, and see a reset that looks like an end

Cause: a response without a length counted as truncated if any connection to the upstream had failed since its head; undici reports the end of each response with Connection: close as an error of its socket. And libuv reports an ordinary end for a socket that is hung up after a partial read, also if it was reset.

Of a socket that has ended, the kernel knows the peer if it was closed in the ordinary way (remoteAddress 127.0.0.1) and not if it was reset (undefined): a script with sockets that are read late and at once, 100 and 1,000,000 bytes.

Change: a connection records the failure of its own socket, before undici hears of it; a socket that ends without a peer was reset.

Tests: upstreamConnections.spec.ts. Before, "truncate no other response" and "report that it is truncated after a reset, without a length" failed.

Cost: none on the path; one look at the peer where a connection ends.

--- a/packages/calls/src/upstreamConnection.ts
+++ b/packages/calls/src/upstreamConnection.ts
@@ -90,6 +90,11 @@
     return this.isOpen && this.open?.requestIds.has(requestId) === true;
   }
 
+  /** Why the latest socket failed; undefined if it has not. */
+  get failure(): Error | undefined {
+    return this.open?.failure;
+  }
+
   /** Sends a request. It must be free. */
   dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
     this.isTaken = !this.client.dispatch(options, handler);
@@ -139,6 +144,9 @@
       failure: undefined,
     };
     this.open = open;
+    socket.on('end', () => {
+      if (isReset(socket)) open.failure ??= new Error('The connection was reset.');
+    });
     socket.on('error', error => {
       open.failure ??= error;
       const ageMs = Math.round(clock.now() - open.openedAt);
@@ -147,3 +155,8 @@
     });
   }
 }
+
+/** A socket that is reset before all data was read may report an ordinary end, but the kernel no longer knows its peer. */
+function isReset(socket: Socket): boolean {
+  return socket.remoteAddress === undefined;
+}
--- a/packages/calls/src/upstreamConnections.ts
+++ b/packages/calls/src/upstreamConnections.ts
@@ -19,18 +19,14 @@
   private hasDelimitedResponses = false;
   private noReuseUntil = Number.NEGATIVE_INFINITY;
   private readonly failedConnections = new WeakMap<object, FailedConnection>();
-  /** Number of connections that have failed so far. */
-  private connectionErrors = 0;
 
   constructor(
     private readonly clock: Clock,
     address: string,
     maxConnections: number,
   ) {
-    const onFailure = (error: Error, failed: FailedConnection) => {
-      this.connectionErrors++;
-      this.failedConnections.set(error, failed);
-    };
+    const onFailure = (error: Error, failed: FailedConnection) =>
+      void this.failedConnections.set(error, failed);
     this.pool = new UpstreamConnectionPool({ clock, address, maxConnections, onFailure });
   }
 
@@ -43,12 +39,7 @@
         this.hasDelimitedResponses ||= !response.isCloseDelimited;
         resolve(response);
       };
-      const exchange = new UpstreamExchange(
-        request,
-        signal,
-        { resolve: settle, reject },
-        () => this.connectionErrors,
-      );
+      const exchange = new UpstreamExchange(request, signal, { resolve: settle, reject });
       const { id, method, path, headers, body } = request;
       const options: Dispatcher.DispatchOptions = {
         method: method as Dispatcher.HttpMethod,
--- a/packages/calls/src/upstreamExchange.ts
+++ b/packages/calls/src/upstreamExchange.ts
@@ -59,7 +59,7 @@
   private bufferedBytes = 0;
   private isFailed = false;
   private controller: Dispatcher.DispatchController | undefined;
-  private errorsAtHead: number | undefined;
+  private isDelimitedByClose = false;
   private connection: UpstreamConnection | undefined;
   private use: ConnectionUse = NO_CONNECTION;
   private readonly onAbort = () => this.cancel();
@@ -68,7 +68,6 @@
     private readonly request: UpstreamRequest,
     private readonly signal: CancelSignal,
     private readonly settle: { resolve: (value: UpstreamResponse) => void; reject: (error: unknown) => void },
-    private readonly connectionErrors: () => number,
   ) {
     signal.addEventListener('abort', this.onAbort, { once: true });
   }
@@ -102,7 +101,7 @@
       return;
     }
     this.request.onOwnResponse(status, headers);
-    if (isCloseDelimited(this.request.method, status, headers)) this.errorsAtHead = this.connectionErrors();
+    this.isDelimitedByClose = isCloseDelimited(this.request.method, status, headers);
     this.status = status;
     this.headers = headers;
   }
@@ -120,13 +119,13 @@
   }
 
   /**
-   * undici also reports a reset connection as the end of a close-delimited response. Such a response is therefore treated
-   * as truncated if any connection to this upstream failed while it was received.
+   * undici also reports a reset connection as the end of a close-delimited response. Such a response is therefore treated as truncated if its
+   * connection has failed.
    */
   onResponseEnd(): void {
     this.signal.removeEventListener('abort', this.onAbort);
-    const mayBeTruncated = this.errorsAtHead !== undefined && this.errorsAtHead !== this.connectionErrors();
-    if (mayBeTruncated) this.fail(new Error('A connection was reset before the end of the response.'));
+    const failure = this.isDelimitedByClose ? this.connection?.failure : undefined;
+    if (failure) this.fail(failure);
     else if (this.restQueue) this.restQueue.push('end');
     else this.settle.resolve(this.createResponse());
   }
@@ -163,14 +162,13 @@
         ? this.startChunks[0]
         : Buffer.concat(this.startChunks);
     this.startChunks = [];
-    const isDelimitedByClose = this.errorsAtHead !== undefined;
     return {
       status: this.status,
       headers: this.headers,
       start,
       rest,
       connection: this.use,
-      isCloseDelimited: isDelimitedByClose,
+      isCloseDelimited: this.isDelimitedByClose,
     };
   }
 
--- /dev/null
+++ b/tests/upstreamConnections.spec.ts
@@ -0,0 +1,91 @@
+import { UpstreamConnections, type UpstreamResponse } from '@cleatquay/calls';
+import { NEVER_CANCELLED, SystemClock } from '@cleatquay/clock';
+import { expect } from 'chai';
+import { type AddressInfo, type Server, type Socket, createServer } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
+
+const HEAD = 'HTTP/1.1 200 OK\r\nConnection: close\r\n';
+/** Each is read at once; the last one is the first beyond what an exchange buffers for a slow reader, so that nothing is left after it. */
+const PIECE = 'x'.repeat(48_000);
+const PIECES = 5;
+const LONG_BYTES = PIECES * PIECE.length;
+const RESPONSES = 20;
+
+describe('the connections to an upstream', () => {
+  let upstream: Server;
+  let connections: UpstreamConnections;
+  /** How the upstream responds on a connection. */
+  let respond: (socket: Socket, path: string) => void;
+
+  beforeEach(async () => {
+    upstream = createServer(socket => {
+      socket.on('error', () => undefined);
+      socket.on('data', chunk => respond(socket, /^GET (\S+)/.exec(String(chunk))?.[1] ?? ''));
+    });
+    await new Promise<void>(resolve => upstream.listen(0, '127.0.0.1', resolve));
+    const address = `127.0.0.1:${String((upstream.address() as AddressInfo).port)}`;
+    connections = new UpstreamConnections(new SystemClock(), address, RESPONSES);
+  });
+
+  afterEach(async () => {
+    upstream.close();
+    await connections[Symbol.asyncDispose]();
+  });
+
+  let requests = 0;
+  const send = (path: string): Promise<UpstreamResponse> =>
+    connections.send(
+      {
+        id: `q${String(++requests)}`,
+        method: 'GET',
+        path,
+        headers: [],
+        body: undefined,
+        idempotent: true,
+        isOwnResponse: () => true,
+        onOwnResponse: () => undefined,
+      },
+      NEVER_CANCELLED,
+    );
+  /** Reads a response slowly at its beginning; returns its length. */
+  const read = async ({ start, rest }: UpstreamResponse, pauseMs = 0): Promise<number> => {
+    let bytes = start.length;
+    await sleep(pauseMs);
+    if (rest) for await (const chunk of rest) bytes += chunk.length;
+    return bytes;
+  };
+
+  describe('that end with a response', () => {
+    // Guards against complete responses that count as truncated since another connection ended.
+    it('truncate no other response', async () => {
+      respond = (socket, path) => {
+        socket.write(`${HEAD}\r\n${'x'.repeat(100_000)}`);
+        setTimeout(() => socket.end('x'.repeat(60_000)), Number(path.slice(1)));
+      };
+      const lengths = await Promise.all(
+        Array.from({ length: RESPONSES }, async (_, i) => read(await send(`/${String(10 * i)}`))),
+      );
+      expect(lengths).to.deep.equal(Array.from({ length: RESPONSES }, () => 160_000));
+    });
+
+    for (const hasLength of [false, true]) {
+      const title = hasLength ? 'with a length' : 'without a length';
+      const headFor = (bytes: number) =>
+        `${HEAD}${hasLength ? `Content-Length: ${String(bytes)}\r\n` : ''}\r\n`;
+      // Guards against a reset that looks like the end of the response.
+      it(`report that it is truncated after a reset, ${title}`, async () => {
+        respond = socket => {
+          socket.write(headFor(8 * LONG_BYTES) + PIECE.repeat(4 * PIECES));
+          setTimeout(() => socket.resetAndDestroy(), 50);
+        };
+        for (let i = 0; i < RESPONSES; i++) {
+          const failure = await read(await send('/'), 10 * i).then(
+            () => undefined,
+            (error: unknown) => error,
+          );
+          expect(failure).to.be.instanceOf(Error);
+        }
+      });
+    }
+  });
+});
