Hold up the reader of a connection to an upstream in place of pausing undici's parser

What callers saw: an answer that was long, read slowly and ended with its connection ended the daemon that read it, with all that it had in hand.

Cause: the daemon pauses the response at 128 KiB of unread body. undici pauses its parser then, and asserts that it is not paused when the connection ends; the error is thrown from an event of the socket, so that the process ends. Evidence: the test below on the code before: "Uncaught AssertionError: assert(!this.paused), Parser.finish, Socket.onHttpSocketEnd".

Change: HeldReading. The reader of the socket gets nothing while it is held, so that undici's parser waits for data, and the socket stops reading after its own 64 KiB. The end of a response releases it, also for the next one on the connection.

Tests: upstreamConnections.spec.ts, "deliver it whole to a slow reader": five pieces of 48,000 bytes, 20 ms apart, bring about that nothing is left when the pause begins and the end comes later. Both fail before.

--- a/packages/calls/src/upstreamConnection.ts
+++ b/packages/calls/src/upstreamConnection.ts
@@ -2,6 +2,7 @@
 import { type Clock } from '@cleatquay/clock';
 import { type Socket } from 'node:net';
 import { Client, type Dispatcher, buildConnector } from 'undici';
+import { HeldReading } from './heldReading.js';
 
 /** An upstream on the same VM that takes longer to accept a connection is considered down. */
 const CONNECT_TIMEOUT_MS = 500;
@@ -32,6 +33,7 @@
 /** The current socket. */
 interface OpenSocket {
   readonly socket: Socket;
+  readonly reading: HeldReading;
   readonly number: number;
   readonly openedAt: number;
   /** The latest requests that were sent on it, in their order. */
@@ -116,6 +118,15 @@
     return use;
   }
 
+  /** Reads nothing more of the response until `releaseReading`. */
+  holdReading(): void {
+    this.open?.reading.hold();
+  }
+
+  releaseReading(): void {
+    this.open?.reading.release();
+  }
+
   /** Ends it once its requests have ended. */
   async close(): Promise<void> {
     await this.client.close();
@@ -137,6 +148,7 @@
     const { clock, nextNumber, onFailure } = this.options;
     const open: OpenSocket = {
       socket,
+      reading: new HeldReading(socket),
       number: nextNumber(),
       openedAt: clock.now(),
       requestIds: new Set(),
--- a/packages/calls/src/upstreamExchange.ts
+++ b/packages/calls/src/upstreamExchange.ts
@@ -58,6 +58,7 @@
   private restQueue: AsyncQueue<Buffer | 'end'> | undefined;
   private bufferedBytes = 0;
   private isFailed = false;
+  private isEnded = false;
   private controller: Dispatcher.DispatchController | undefined;
   private isDelimitedByClose = false;
   private connection: UpstreamConnection | undefined;
@@ -106,7 +107,7 @@
     this.headers = headers;
   }
 
-  onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+  onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (!this.restQueue) {
       this.startChunks.push(chunk);
       this.startBytes += chunk.length;
@@ -115,7 +116,7 @@
     }
     this.restQueue.push(chunk);
     this.bufferedBytes += chunk.length;
-    if (this.bufferedBytes > MAX_BUFFERED_BYTES) controller.pause();
+    if (this.bufferedBytes > MAX_BUFFERED_BYTES) this.connection?.holdReading();
   }
 
   /**
@@ -123,7 +124,7 @@
    * connection has failed.
    */
   onResponseEnd(): void {
-    this.signal.removeEventListener('abort', this.onAbort);
+    this.end();
     const failure = this.isDelimitedByClose ? this.connection?.failure : undefined;
     if (failure) this.fail(failure);
     else if (this.restQueue) this.restQueue.push('end');
@@ -131,10 +132,17 @@
   }
 
   onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
-    this.signal.removeEventListener('abort', this.onAbort);
+    this.end();
     this.fail(error);
   }
 
+  /** The connection is free for other requests. */
+  private end(): void {
+    this.isEnded = true;
+    this.signal.removeEventListener('abort', this.onAbort);
+    this.connection?.releaseReading();
+  }
+
   private reportSent(): void {
     if (!this.isFailed) this.request.progress?.onSent(error => this.cancel(error));
   }
@@ -177,7 +185,7 @@
       const chunk = await rest.next();
       if (chunk === 'end') return;
       this.bufferedBytes -= chunk.length;
-      if (this.controller?.paused && this.bufferedBytes <= MAX_BUFFERED_BYTES / 2) this.controller.resume();
+      if (this.bufferedBytes <= MAX_BUFFERED_BYTES / 2 && !this.isEnded) this.connection?.releaseReading();
       yield chunk;
     }
   }
--- a/tests/upstreamConnections.spec.ts
+++ b/tests/upstreamConnections.spec.ts
@@ -8,6 +8,7 @@
 /** Each is read at once; the last one is the first beyond what an exchange buffers for a slow reader, so that nothing is left after it. */
 const PIECE = 'x'.repeat(48_000);
 const PIECES = 5;
+const PIECE_INTERVAL_MS = 20;
 const LONG_BYTES = PIECES * PIECE.length;
 const RESPONSES = 20;
 
@@ -72,7 +73,18 @@
       const title = hasLength ? 'with a length' : 'without a length';
       const headFor = (bytes: number) =>
         `${HEAD}${hasLength ? `Content-Length: ${String(bytes)}\r\n` : ''}\r\n`;
-      // Guards against a reset that looks like the end of the response.
+      // Guards against the end of the process, by an assertion of undici, when a paused response ends with its connection.
+      it(`deliver it whole to a slow reader, ${title}`, async () => {
+        respond = socket => void sendInPieces(socket, headFor(LONG_BYTES));
+        const lengths = await Promise.all(
+          Array.from({ length: RESPONSES }, async () =>
+            read(await send('/'), 2 * PIECES * PIECE_INTERVAL_MS),
+          ),
+        );
+        expect(lengths).to.deep.equal(Array.from({ length: RESPONSES }, () => LONG_BYTES));
+      });
+
+      // The same when the connection is reset meanwhile.
       it(`report that it is truncated after a reset, ${title}`, async () => {
         respond = socket => {
           socket.write(headFor(8 * LONG_BYTES) + PIECE.repeat(4 * PIECES));
@@ -89,3 +101,12 @@
     }
   });
 });
+
+async function sendInPieces(socket: Socket, head: string): Promise<void> {
+  socket.write(head);
+  for (let i = 0; i < PIECES; i++) {
+    socket.write(PIECE);
+    await sleep(PIECE_INTERVAL_MS);
+  }
+  socket.end();
+}
