Leave no listeners on a response each time that its caller reads slowly

Cause: writeResponseParts waited for 'drain' or 'close' by a race of two once(), of which the one that loses keeps its listeners until the response closes: two a full buffer, so that memory and work grew with the length of a download. node warned of 11 listeners on a ServerResponse (found by the users).

Change: one promise that takes both listeners away.

Tests: slowReaders.spec.ts counts the listeners at the first and the last of 60 parts of 1 MiB: 5 and 123 before, as many at the end as at the beginning now.

--- a/packages/daemon/src/callerResponse.ts
+++ b/packages/daemon/src/callerResponse.ts
@@ -12,7 +12,6 @@
 import { parseCredentials } from '@cleatquay/organisations';
 import { Failure, resultByCode, resultCodes } from '@cleatquay/errors';
 import { type AnswerHead, type AnswerPart, type Refusal, createRefusal } from '@cleatquay/protocol';
-import { once } from 'node:events';
 import { type IncomingMessage, type ServerResponse } from 'node:http';
 import { type Duplex } from 'node:stream';
 
@@ -100,13 +99,26 @@
 ): Promise<Refusal | undefined> {
   for await (const part of parts) {
     if (writeResponsePart(response, part, writer)) return part.refusal;
-    if (response.writableNeedDrain) await Promise.race([once(response, 'drain'), once(response, 'close')]);
+    if (response.writableNeedDrain) await drained(response);
     if (response.destroyed) return undefined;
   }
   writer.cut(response);
   return undefined;
 }
 
+/** Resolves once the response takes more, or is closed. */
+function drained(response: ServerResponse): Promise<void> {
+  return new Promise(resolve => {
+    const settle = () => {
+      response.off('drain', settle);
+      response.off('close', settle);
+      resolve();
+    };
+    response.on('drain', settle);
+    response.on('close', settle);
+  });
+}
+
 /** Writes a part; returns whether it was the last one. */
 function writeResponsePart(response: ServerResponse, part: AnswerPart, writer: ResponseWriter): boolean {
   if (part.refusal) {
