Let the held reader of a connection go on after the parser has returned

Cause: the end of a response releases the reader, and may do so from within undici's parser, which asserts that it isn't entered again. Seen by reading; a response whose last chunk fills the buffer, with more bytes behind it, would end the process.

Change: the reader is told in a microtask.

Result: the tests of upstreamConnections.spec.ts, platformResponses.spec.ts and lateCopies.spec.ts pass (30).

--- a/packages/calls/src/heldReading.ts
+++ b/packages/calls/src/heldReading.ts
@@ -19,10 +19,12 @@
     this.isHeld = true;
   }
 
-  /** Lets the reader take what has arrived. */
+  /** Lets the reader take what has arrived, once it has returned: it may be the caller. */
   release(): void {
     if (!this.isHeld) return;
     this.isHeld = false;
-    if (!this.socket.destroyed) this.socket.emit('readable');
+    queueMicrotask(() => {
+      if (!this.isHeld && !this.socket.destroyed) this.socket.emit('readable');
+    });
   }
 }
