Take a host that becomes unreachable while a request runs for a lost request, not for a refused connection

What callers could see: a request that had been sent counts as not run, and is sent again, if the network reports its host as unreachable meanwhile (EHOSTUNREACH, ENETUNREACH). Found by reading, as a related path of the request that ran twice: what may mark an attempt as not dispatched, and on which evidence.

Change: isConnectFailure asks for an error of connecting.

Tests: upstreamConnections.spec.ts, "count as refused only if they could not be opened" (by the code before, the second of its three errors counted as refused).

--- a/packages/calls/src/index.ts
+++ b/packages/calls/src/index.ts
@@ -51,6 +51,7 @@
   UpstreamDispatcher,
   type UpstreamDispatcherOptions,
 } from './upstreamDispatcher.js';
+export { isConnectFailure } from './connectFailure.js';
 export { UpstreamConnections } from './upstreamConnections.js';
 export { ResponseMismatch, type UpstreamResponse, type UpstreamRequest } from './upstreamExchange.js';
 export {
--- a/packages/calls/src/upstreamDispatcher.ts
+++ b/packages/calls/src/upstreamDispatcher.ts
@@ -24,6 +24,7 @@
   mayHaveBody,
   singlePartResponse,
 } from './callHandler.js';
+import { isConnectFailure } from './connectFailure.js';
 import { parseHeaderBlock, forwardedHeaders } from './headers.js';
 import { quarantineRefusal } from './quarantineRefusal.js';
 import { type CallChains } from './callChains.js';
@@ -42,7 +43,6 @@
 export const NON_IDEMPOTENT_GRACE_MS = 10_000;
 
 const OVERLOAD_STATUSES = [429, 503];
-const CONNECT_ERRORS = ['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'];
 
 /** A call as received. */
 interface IncomingCall {
@@ -372,13 +372,13 @@
       this.options.decisionTrace.requestEnded(context.requestId, true);
       return broken;
     }
-    const { code, message } = error as { code?: string; message?: string };
+    const { message } = error as { message?: string };
     if (error instanceof UnqueuedRequest) {
       permit.release('shed');
       this.options.decisionTrace.record(context.requestId, error.message);
       return unqueuedRefusal(error, route.idempotent);
     }
-    if (CONNECT_ERRORS.includes(code ?? '')) {
+    if (isConnectFailure(error)) {
       if (!route.idempotent) this.options.attempts.markNotDispatched(context.requestId);
       upstream.onConnectionRefused();
       return createRefusal('unreachable', 'The upstream refused the connection.', { elsewhereHelps: true });
--- a/tests/upstreamConnections.spec.ts
+++ b/tests/upstreamConnections.spec.ts
@@ -1,4 +1,4 @@
-import { UpstreamConnections, type UpstreamResponse } from '@cleatquay/calls';
+import { UpstreamConnections, isConnectFailure, type UpstreamResponse } from '@cleatquay/calls';
 import { NEVER_CANCELLED, SystemClock } from '@cleatquay/clock';
 import { expect } from 'chai';
 import { type AddressInfo, type Server, type Socket, createServer } from 'node:net';
@@ -56,6 +56,26 @@
     return bytes;
   };
 
+  describe('that fail', () => {
+    const systemError = (code: string, syscall: string) => Object.assign(new Error(code), { code, syscall });
+
+    // Guards against a request that counts as not run since the network failed while it ran.
+    it('count as refused only if they could not be opened', () => {
+      expect(isConnectFailure(systemError('EHOSTUNREACH', 'connect'))).to.equal(true);
+      expect(isConnectFailure(systemError('EHOSTUNREACH', 'read'))).to.equal(false);
+      expect(isConnectFailure(systemError('ECONNRESET', 'connect'))).to.equal(false);
+    });
+
+    it('count as refused if the upstream does not listen', async () => {
+      await new Promise(resolve => upstream.close(resolve));
+      const failure = await send('/').then(
+        () => undefined,
+        (error: unknown) => error,
+      );
+      expect(isConnectFailure(failure)).to.equal(true);
+    });
+  });
+
   describe('that end with a response', () => {
     // Guards against complete responses that count as truncated since another connection ended.
     it('truncate no other response', async () => {
