Give failures of upstreams and bounded logs modules of their own

Change: UpstreamFailures has the refusals, one path a method; boundedLog is shared. Moved, with no change of a decision: the refusal of a cancelled request and of a broken one were told apart by the same signal, before the check for a crash.

--- a/packages/calls/src/upstreamDispatcher.ts
+++ b/packages/calls/src/upstreamDispatcher.ts
@@ -1,7 +1,7 @@
 /** Admits calls, dispatches them to the local upstream, and records which ones were dispatched. */
 import { type Permit, progressLevel, requestLevel } from '@cleatquay/admission';
 import { type CancelSignal, type Clock, NEVER_CANCELLED } from '@cleatquay/clock';
-import { type ResultName, resultByCode } from '@cleatquay/errors';
+import { resultByCode } from '@cleatquay/errors';
 import {
   ANY_EPOCH,
   type AnswerPart,
@@ -15,7 +15,7 @@
   refusalPart,
   createRefusal,
 } from '@cleatquay/protocol';
-import { SuspectSemaphore, type Quarantine, type QuarantineStatus } from '@cleatquay/quarantine';
+import { SuspectSemaphore, type Quarantine } from '@cleatquay/quarantine';
 import { toCallResponse } from './responses.js';
 import {
   type CallResponse,
@@ -24,19 +24,17 @@
   mayHaveBody,
   singlePartResponse,
 } from './callHandler.js';
-import { isConnectFailure } from './connectFailure.js';
 import { parseHeaderBlock, forwardedHeaders } from './headers.js';
 import { quarantineRefusal } from './quarantineRefusal.js';
 import { type CallChains } from './callChains.js';
 import { type DecisionTrace } from './decisionTrace.js';
 import { cancellationOf } from './runCancellation.js';
 import { type LocalUpstream } from './localUpstream.js';
-import { UnqueuedRequest, unqueuedRefusal } from './requestProgress.js';
 import { RunningCall, type RunningCalls } from './runningCalls.js';
 import { type AttemptRegistry } from './attemptRegistry.js';
-import { brokenIntakeRefusal } from './uploadIntake.js';
-import { ResponseMismatch, type UpstreamResponse } from './upstreamExchange.js';
-import { type UpstreamCrash, type CrashDetector, receivedFingerprint } from './crashDetector.js';
+import { type UpstreamResponse } from './upstreamExchange.js';
+import { type AdmittedCall, UpstreamFailures, quarantineStatusOf } from './upstreamFailures.js';
+import { type CrashDetector, receivedFingerprint } from './crashDetector.js';
 import { type UpstreamDialect } from './upstreamDialect.js';
 
 /** How long a non-idempotent request may continue after its deadline, so that its outcome can be determined. */
@@ -55,16 +53,6 @@
   readonly arrivedAt: number;
 }
 
-/** A call that has been admitted. */
-interface AdmittedCall {
-  readonly head: RequestHead;
-  readonly context: CallContext;
-  readonly route: CallRoute;
-  readonly upstream: LocalUpstream;
-  readonly permit: Permit;
-  readonly body: CallBody;
-}
-
 /** Dependencies on the daemon. */
 export interface UpstreamDispatcherOptions {
   readonly clock: Clock;
@@ -89,8 +77,11 @@
 /** Serves calls for the local upstreams. */
 export class UpstreamDispatcher {
   private readonly suspectSemaphore = new SuspectSemaphore();
+  private readonly failures: UpstreamFailures;
 
-  constructor(private readonly options: UpstreamDispatcherOptions) {}
+  constructor(private readonly options: UpstreamDispatcherOptions) {
+    this.failures = new UpstreamFailures(options);
+  }
 
   /** Handles one call, as a CallHandler. */
   async handle(head: RequestHead, body: CallBody, signal: CancelSignal): Promise<CallResponse> {
@@ -106,28 +97,22 @@
     const { quarantine, clock } = this.options;
     for (const start of head.endedStarts) quarantine.recordRemoteCrash(head, start);
     const call = { head, context, route, upstream, body, arrivedAt: clock.now() };
-    const isFree = this.quarantineStatusOf(call) === 'free';
+    const isFree = quarantineStatusOf(quarantine, call) === 'free';
     const response = await (isFree ? this.serve(call, signal) : this.serveSuspect(call, signal));
     return withNotice(response, upstream);
   }
 
-  /** Whether a call is suspect or quarantined. Its fingerprint is computed only while there are suspects. */
-  private quarantineStatusOf({ head, body }: Pick<IncomingCall, 'head' | 'body'>): QuarantineStatus {
-    const { quarantine } = this.options;
-    const fingerprint = quarantine.isEmpty ? undefined : receivedFingerprint(head, body);
-    return fingerprint === undefined ? 'free' : quarantine.statusOf(fingerprint);
-  }
-
   /**
    * Waits until a suspect may run with few other suspects, or none, at its upstream, and then serves it. Refuses it if it has been quarantined by
    * then: its sender may not have received the verdict yet.
    */
   private async serveSuspect(call: IncomingCall, signal: CancelSignal): Promise<CallResponse> {
+    const { quarantine } = this.options;
     const { head, context, route, upstream } = call;
-    const wanted = this.quarantineStatusOf(call) === 'strong-suspect' ? 'all' : 'one';
+    const wanted = quarantineStatusOf(quarantine, call) === 'strong-suspect' ? 'all' : 'one';
     using permits = await this.suspectSemaphore.acquire(upstream.start, wanted, signal);
     void permits;
-    if (this.quarantineStatusOf(call) === 'held') return this.refuseQuarantined(call);
+    if (quarantineStatusOf(quarantine, call) === 'held') return this.refuseQuarantined(call);
     const refusalAfterWait = this.refusalBeforeAdmission(context, route, this.options.upstream(head.service));
     return refusalAfterWait
       ? singlePartResponse(refusalPart(refusalAfterWait, context.retryTokens))
@@ -263,7 +248,7 @@
         ? { ...response, rest: this.finishingParts(admitted, call, response.rest, finish) }
         : response;
     } catch (error) {
-      const refusal = await this.refusalFor(error, cancellation.signal, admitted);
+      const refusal = await this.failures.refusalFor(error, cancellation.signal, admitted);
       this.options.chains.runFailed(call, clock.now() - startedAt, cancellation.signal);
       finish();
       if (!route.idempotent) this.options.attempts.markEnded(context.requestId, undefined);
@@ -354,7 +339,7 @@
         yield part;
       }
     } catch (error) {
-      const refusal = await this.refusalFor(error, call.signal, admitted);
+      const refusal = await this.failures.refusalFor(error, call.signal, admitted);
       yield refusalPart(refusal, call.retryTokens, this.load(upstream, route, context));
     } finally {
       finish();
@@ -364,64 +349,6 @@
     }
   }
 
-  private async refusalFor(error: unknown, signal: CancelSignal, admitted: AdmittedCall): Promise<Refusal> {
-    const { context, route, upstream, permit } = admitted;
-    const broken = brokenIntakeRefusal(admitted.body);
-    if (broken) {
-      if (broken.outcome === 'not-run') this.options.attempts.markNotDispatched(context.requestId);
-      this.options.decisionTrace.requestEnded(context.requestId, true);
-      return broken;
-    }
-    const { message } = error as { message?: string };
-    if (error instanceof UnqueuedRequest) {
-      permit.release('shed');
-      this.options.decisionTrace.record(context.requestId, error.message);
-      return unqueuedRefusal(error, route.idempotent);
-    }
-    if (isConnectFailure(error)) {
-      if (!route.idempotent) this.options.attempts.markNotDispatched(context.requestId);
-      upstream.onConnectionRefused();
-      return createRefusal('unreachable', 'The upstream refused the connection.', { elsewhereHelps: true });
-    }
-    const isCancelled = signal.aborted;
-    if (!isCancelled) upstream.connections.suspendReuse();
-    const result: ResultName = isCancelled ? 'deadlinePassed' : 'upstreamBroke';
-    const { decisionTrace } = this.options;
-    decisionTrace.record(context.requestId, 'The upstream sent no complete response.', {
-      why: message ?? 'unknown',
-      ...upstream.connections.failedConnection(error),
-    });
-    const isMismatch = error instanceof ResponseMismatch;
-    const crash =
-      isCancelled || isMismatch ? undefined : await this.options.crashDetector.checkForCrash(upstream);
-    if (crash) this.recordCrash(context.requestId, crash, admitted);
-    decisionTrace.requestEnded(context.requestId, true);
-    if (isCancelled)
-      return createRefusal(result, `The request was cancelled. ${(signal.reason as Error).message}`);
-    if (isMismatch) return createRefusal(result, error.message, { elsewhereHelps: true });
-    if (!crash)
-      return createRefusal(result, 'The upstream failed before its response was complete.', {
-        elsewhereHelps: true,
-      });
-    upstream.onConnectionRefused();
-    // The sender may not have received yet that the request is quarantined.
-    const elsewhereHelps = this.quarantineStatusOf(admitted) !== 'held';
-    return createRefusal('upstreamEnded', 'The upstream crashed.', {
-      elsewhereHelps,
-      endedStart: crash.start,
-    });
-  }
-
-  private recordCrash(
-    requestId: string,
-    { start, requests }: UpstreamCrash,
-    { head, body }: AdmittedCall,
-  ): void {
-    const fingerprint = receivedFingerprint(head, body) ?? 'unknown';
-    const facts = { start, running: requests.length, fingerprint };
-    this.options.decisionTrace.record(requestId, 'The upstream crashed while it ran the request.', facts);
-  }
-
   /** The load that is reported to the sender. For root requests of expensive routes, the admission level is lower than that of the queue. */
   private load(upstream: LocalUpstream, route: CallRoute, context: CallContext): Load {
     const { depth } = context;
--- a/packages/daemon/src/operatorRequests.ts
+++ b/packages/daemon/src/operatorRequests.ts
@@ -4,28 +4,28 @@
  */
 import { type Clock } from '@cleatquay/clock';
 import { type Server } from 'node:http';
+import { type LogLine, boundedLog } from './boundedLog.js';
 import { type Metrics } from './metrics.js';
 
 /** A request or a connection that is open for longer is logged, ms. */
 const LATE_MS = 5000;
-/** Lines of one daemon; further late requests show in the gauges only. */
-const MAX_LINES = 100;
 
 /** Dependencies of the watch. */
 export interface OperatorRequestsOptions {
   readonly clock: Clock;
   readonly metrics: Metrics;
-  readonly log: (message: string, facts: object) => void;
+  readonly log: LogLine;
 }
 
 /** The open requests and connections of an operator server. */
 export class OperatorRequests {
   private readonly startedAt = new Map<object, number>();
   private connections = 0;
-  private lines = 0;
+  private readonly log: LogLine;
 
   constructor(private readonly options: OperatorRequestsOptions) {
-    const { metrics } = options;
+    const { metrics, log } = options;
+    this.log = boundedLog(log);
     metrics.gauge(
       'cleatquay_operator_requests',
       'Operator requests without a response',
@@ -73,8 +73,7 @@
   }
 
   private logLate(message: string, facts: object): void {
-    if (++this.lines > MAX_LINES) return;
     const { startedAt, connections } = this;
-    this.options.log(message, { ...facts, forMs: LATE_MS, requests: startedAt.size, connections });
+    this.log(message, { ...facts, forMs: LATE_MS, requests: startedAt.size, connections });
   }
 }
--- a/packages/daemon/src/unreadBodies.ts
+++ b/packages/daemon/src/unreadBodies.ts
@@ -4,19 +4,18 @@
  */
 import { type Clock } from '@cleatquay/clock';
 import { type IncomingMessage, type ServerResponse } from 'node:http';
+import { type LogLine, boundedLog } from './boundedLog.js';
 import { type BodyLimits } from './callerBody.js';
 import { type Metrics } from './metrics.js';
 
 /** How often the limits of a rest are checked, ms. */
 const CHECK_INTERVAL_MS = 250;
-/** Log lines of one daemon; further closed connections show in the counter only. */
-const MAX_LINES = 100;
 
 /** Dependencies. */
 export interface UnreadBodiesOptions {
   readonly clock: Clock;
   readonly metrics: Metrics;
-  readonly log: (message: string, facts: object) => void;
+  readonly log: LogLine;
 }
 
 /** What is left of a body whose response is complete. */
@@ -32,10 +31,12 @@
 /** The requests of callers that have a response and an unread rest of their body. */
 export class UnreadBodies {
   private readonly rests = new Set<Rest>();
+  private readonly log: LogLine;
   private closed = 0;
 
   constructor(private readonly options: UnreadBodiesOptions) {
-    const { metrics } = options;
+    const { metrics, log } = options;
+    this.log = boundedLog(log);
     const gauge = (name: string, help: string, read: () => number) =>
       metrics.gauge(`cleatquay_${name}`, help, read);
     gauge(
@@ -83,8 +84,8 @@
   private close(rest: Rest, bytes: number, forMs: number): void {
     this.rests.delete(rest);
     rest.request.socket.destroy();
-    if (++this.closed > MAX_LINES) return;
+    this.closed++;
     const facts = { path: rest.request.url, bytes, forMs: Math.round(forMs) };
-    this.options.log('Callers: Closed a connection, since the rest of a body took too long.', facts);
+    this.log('Callers: Closed a connection, since the rest of a body took too long.', facts);
   }
 }
