Trace which process an attempt was sent to, which one answered a seal, and on which evidence a request has not run

Cause: no line told which process of an address had an attempt and which answered for it, so that a seal by the next process looked like one by the process that had the attempt. Refusals without asking the upstream and connections to it that could not be opened left no line at all.

Change: a daemon process has an identity of 128 random bits. It tells it on its links, with the pong that opens them, and in its answers to seals with the time for which it has run. The sender traces both; the daemon of the upstream traces its own with each request that it gives to the upstream and with each refusal of its own, and the error code of a connection that could not be opened. No decision is changed.

--- a/packages/calls/src/attemptRegistry.ts
+++ b/packages/calls/src/attemptRegistry.ts
@@ -21,6 +21,9 @@
   readonly end: () => void;
 }
 
+/** The state of an attempt after a seal request. */
+export type SealOutcome = Pick<SealAnswer, 'state' | 'head' | 'body'>;
+
 /** Attempts by request id, each stored for the lifetime of an id. */
 export class AttemptRegistry {
   private readonly records = new Map<string, AttemptRecord>();
@@ -85,11 +88,11 @@
   }
 
   /** Seals the attempt if it was not dispatched; if it is running, waits up to `waitMs` for its end. */
-  async seal(request: SealRequest): Promise<SealAnswer> {
+  async seal(request: SealRequest): Promise<SealOutcome> {
     const record = this.records.get(request.requestId) ?? this.add(request.requestId, request.try, 'sealed');
     if (record.state === 'admitting' || record.state === 'refused') record.state = 'sealed';
     if (record.state === 'dispatched' && request.waitMs > 0) await this.waitFor(record, request.waitMs);
-    return toSealAnswer(record);
+    return outcomeOf(record);
   }
 
   private async waitFor(record: AttemptRecord, waitMs: number): Promise<void> {
@@ -114,7 +117,7 @@
   }
 }
 
-function toSealAnswer({ state, response }: AttemptRecord): SealAnswer {
+function outcomeOf({ state, response }: AttemptRecord): SealOutcome {
   if (response) return { state: 'ANSWERED', head: response.head, body: response.body };
   const states = { dispatched: 'RUNNING', answered: 'LOST', lost: 'LOST' } as const;
   const sealState =
--- a/packages/calls/src/flowControl.ts
+++ b/packages/calls/src/flowControl.ts
@@ -1,5 +1,6 @@
 /** Parts shared by both sides of a link: batching of items into frames, and flow control of message bodies. */
 import { type LinkItem } from '@cleatquay/protocol';
+import { UNKNOWN_PROCESS } from './processIdentity.js';
 
 /** Parts of one call that may be sent before the receiver has consumed them: 256 KiB a call with parts of 64 KiB. */
 const WINDOW_PARTS = 4;
@@ -15,6 +16,7 @@
   credit: 0,
   ping: 0,
   pong: 0,
+  process: UNKNOWN_PROCESS,
   configurationRequest: undefined,
   configuration: undefined,
 };
--- a/packages/calls/src/forwarder.ts
+++ b/packages/calls/src/forwarder.ts
@@ -221,6 +221,7 @@
         {
           why: error.message,
           wasSent: !error.neverSent,
+          process: error.process,
         },
       );
       return this.afterConnectionLoss(attempt, error);
@@ -298,7 +299,11 @@
         .seal(attempt.candidate.address, request, SEAL_TIMEOUT_MS)
         .catch(() => undefined);
       if (response)
-        decisionTrace.record(requestId, 'Queried the state of the lost attempt.', { state: response.state });
+        decisionTrace.record(requestId, 'Queried the state of the lost attempt.', {
+          state: response.state,
+          process: response.process,
+          processAgeMs: Math.round(response.processAgeMs),
+        });
       if (response && response.state !== 'RUNNING') return response;
       await clock.sleep(SEAL_RETRY_DELAY_MS, signal);
     }
--- a/packages/calls/src/index.ts
+++ b/packages/calls/src/index.ts
@@ -34,6 +34,7 @@
 export { type PeerHandlers, PeerServer } from './peerServer.js';
 export { type Decision, type DecisionSink, type Facts, DecisionTrace } from './decisionTrace.js';
 export { ConnectionLoss } from './connectionLoss.js';
+export { ProcessIdentity, UNKNOWN_PROCESS } from './processIdentity.js';
 export { type Reachability, Peers } from './peers.js';
 export { ReplayableBody } from './replayableBody.js';
 export { type RequestId, RequestIdIssuer, parseRequestId } from './requestId.js';
--- a/packages/calls/src/linkClient.ts
+++ b/packages/calls/src/linkClient.ts
@@ -18,6 +18,7 @@
 import { sendUpload, uploadWindow } from './uploadSender.js';
 import { FrameStream } from './frameStream.js';
 import { ConnectionLoss } from './connectionLoss.js';
+import { UNKNOWN_PROCESS } from './processIdentity.js';
 
 /** How often a link with pending calls is checked. */
 export const LIVENESS_CHECK_INTERVAL_MS = 50;
@@ -63,6 +64,7 @@
   private lastReceivedAt: number;
   private lastCheckedAt = 0;
   private failure: ConnectionLoss | undefined;
+  private peerProcess = UNKNOWN_PROCESS;
 
   constructor(
     private readonly clock: Clock,
@@ -96,6 +98,11 @@
     return this.calls.size > 0 || this.pendingConfigurations.size > 0 || this.isPeerUnresponsive;
   }
 
+  /** The process that the link leads to; known once it is open. */
+  get process(): string {
+    return this.peerProcess;
+  }
+
   /** Whether the peer has sent nothing for longer than expected, not even a pong, while calls were pending. */
   get isUnresponsive(): boolean {
     return this.isPeerUnresponsive;
@@ -113,7 +120,8 @@
     const number = ++this.lastCallNumber;
     if (!this.isInUse) this.resetSilenceTimer();
     return new Promise((resolve, reject) => {
-      const cancel = () => call.onFailure(new ConnectionLoss('The call was cancelled.', false));
+      const cancel = () =>
+        call.onFailure(new ConnectionLoss('The call was cancelled.', false, this.peerProcess));
       const finish = (isComplete: boolean) => {
         signal.removeEventListener('abort', cancel);
         this.endCall(number, call, isComplete);
@@ -182,7 +190,7 @@
   /** Ends the link and all of its calls. `reason` completes the error message, which begins with the peer's address. */
   fail(reason: string): void {
     if (this.failure) return;
-    this.failure = new ConnectionLoss(`${this.address} ${reason}.`, false);
+    this.failure = new ConnectionLoss(`${this.address} ${reason}.`, false, this.peerProcess);
     for (const call of [...this.calls.values()]) call.onFailure(this.failure);
     for (const { reject } of this.pendingConfigurations.values()) reject(this.failure);
     this.pendingConfigurations.clear();
@@ -236,7 +244,8 @@
     for (const item of items) this.handleItem(item);
   }
 
-  private handleItem({ call: number, answer: part, credit, configuration }: LinkItem): void {
+  private handleItem({ call: number, answer: part, credit, configuration, process }: LinkItem): void {
+    if (process !== UNKNOWN_PROCESS) this.peerProcess = process;
     if (configuration) this.handleConfiguration(number, configuration);
     const call = this.calls.get(number);
     if (credit > 0) call?.window?.release(credit);
--- a/packages/calls/src/linkServer.ts
+++ b/packages/calls/src/linkServer.ts
@@ -33,6 +33,8 @@
   readonly clock: Clock;
   readonly handle: CallHandler;
   readonly scheduler: RequestScheduler;
+  /** Identifies this process to the peer; see `ProcessIdentity`. */
+  readonly process: string;
   /** Returns what the peer's configuration lacks of this daemon's. */
   readonly configuration: (request: ConfigurationRequest) => ConfigurationAnswer;
 }
@@ -73,7 +75,7 @@
   }
 
   private handleItem(item: LinkItem, delayMs: number): void {
-    if (item.ping > 0) this.writer.send({ pong: item.ping });
+    if (item.ping > 0) this.writer.send({ pong: item.ping, process: this.options.process });
     const call = this.calls.get(item.call);
     if (item.credit > 0) call?.window?.release(item.credit);
     if (item.cancel && call) cancelCall(call);
--- a/packages/calls/src/peerServer.ts
+++ b/packages/calls/src/peerServer.ts
@@ -12,6 +12,7 @@
 import { type AddressInfo, type Server as TcpServer, type Socket, createServer } from 'node:net';
 import { type CallHandler } from './callHandler.js';
 import { LinkServer } from './linkServer.js';
+import { type ProcessIdentity } from './processIdentity.js';
 import { type RequestScheduler } from './requestScheduler.js';
 
 /** Handlers of the requests that peers send to this daemon. */
@@ -19,6 +20,7 @@
   readonly clock: Clock;
   readonly exchange: CallHandler;
   readonly scheduler: RequestScheduler;
+  readonly process: ProcessIdentity;
   readonly seal: (request: SealRequest) => Promise<SealAnswer>;
   readonly configuration: (request: ConfigurationRequest) => ConfigurationAnswer;
 }
@@ -89,7 +91,8 @@
 
   private serveLink(socket: Socket, first: Buffer): void {
     const { exchange: handle, scheduler, configuration, clock } = this.handlers;
-    const link = new LinkServer(socket, { clock, handle, scheduler, configuration });
+    const process = this.handlers.process.id;
+    const link = new LinkServer(socket, { clock, handle, scheduler, process, configuration });
     this.links.set(socket, link);
     socket.once('close', () => this.links.delete(socket));
     link.receive(first);
--- a/packages/calls/src/peers.ts
+++ b/packages/calls/src/peers.ts
@@ -66,7 +66,7 @@
     this.scheduleLivenessCheck();
     const response = await link.exchange(head, body, signal);
     if (this.isPartitioned(address))
-      throw new ConnectionLoss(`${address} was partitioned during the call.`, false);
+      throw new ConnectionLoss(`${address} was partitioned during the call.`, false, link.process);
     return response;
   }
 
--- /dev/null
+++ b/packages/calls/src/processIdentity.ts
@@ -0,0 +1,24 @@
+/** What identifies a daemon process. An address doesn't, nor does an epoch, which only orders the records of an address. */
+import { type Clock } from '@cleatquay/clock';
+import { randomBytes } from 'node:crypto';
+
+const ID_BYTES = 16;
+
+/** Stands for the process of an earlier build, which does not tell its identity. */
+export const UNKNOWN_PROCESS = '';
+
+/** Identity of one daemon process. */
+export class ProcessIdentity {
+  /** 128 random bits in hexadecimal. From the machine's own generator, since one with a seed gives several processes the same. */
+  readonly id = randomBytes(ID_BYTES).toString('hex');
+  private readonly startedAt: number;
+
+  constructor(private readonly clock: Clock) {
+    this.startedAt = clock.now();
+  }
+
+  /** How long this process has run, ms. */
+  get ageMs(): number {
+    return this.clock.now() - this.startedAt;
+  }
+}
--- a/packages/calls/src/upstreamDispatcher.ts
+++ b/packages/calls/src/upstreamDispatcher.ts
@@ -31,10 +31,11 @@
 import { cancellationOf } from './runCancellation.js';
 import { type LocalUpstream } from './localUpstream.js';
 import { RunningCall, type RunningCalls } from './runningCalls.js';
-import { type AttemptRegistry } from './attemptRegistry.js';
+import { type AttemptRegistry, type SealOutcome } from './attemptRegistry.js';
 import { type UpstreamResponse } from './upstreamExchange.js';
 import { type AdmittedCall, UpstreamFailures, quarantineStatusOf } from './upstreamFailures.js';
 import { type CrashDetector, receivedFingerprint } from './crashDetector.js';
+import { type ProcessIdentity } from './processIdentity.js';
 import { type UpstreamDialect } from './upstreamDialect.js';
 
 /** How long a non-idempotent request may continue after its deadline, so that its outcome can be determined. */
@@ -56,6 +57,7 @@
 /** Dependencies on the daemon. */
 export interface UpstreamDispatcherOptions {
   readonly clock: Clock;
+  readonly process: ProcessIdentity;
   readonly epoch: () => number;
   /** The route of a call; undefined if it is not declared. */
   readonly routeOf: (head: RequestHead) => CallRoute | undefined;
@@ -90,6 +92,7 @@
     if (head.notice) this.options.onNotice(head.service, head.notice);
     const upstream = this.options.upstream(head.service);
     const earlyRefusal = this.refusalBeforeAdmission(context, route, upstream);
+    if (earlyRefusal && context) this.recordRefusal(context.requestId, earlyRefusal);
     if (earlyRefusal || !context || !route || !upstream) {
       const refusal = earlyRefusal ?? createRefusal('innerMessageInvalid', 'The call has no context.');
       return withNotice(singlePartResponse(refusalPart(refusal, context?.retryTokens ?? 0)), upstream);
@@ -145,10 +148,18 @@
 
   /** Handles the seal request of a sender that lost the connection during an attempt. */
   async seal(request: SealRequest): Promise<SealAnswer> {
-    if (request.targetEpoch !== ANY_EPOCH && request.targetEpoch !== this.options.epoch()) {
-      return { state: 'OTHER_EPOCH', head: undefined, body: Buffer.alloc(0) };
-    }
-    return this.options.attempts.seal(request);
+    const { process, epoch, attempts } = this.options;
+    const isOtherEpoch = request.targetEpoch !== ANY_EPOCH && request.targetEpoch !== epoch();
+    const outcome = isOtherEpoch ? OTHER_EPOCH : await attempts.seal(request);
+    return { ...outcome, process: process.id, processAgeMs: process.ageMs };
+  }
+
+  /** Records a refusal of this daemon that did not reach the upstream. */
+  private recordRefusal(requestId: string, { code, outcome, message }: Refusal): void {
+    const { decisionTrace, process } = this.options;
+    const facts = { result: resultByCode(code), outcome, why: message, process: process.id };
+    decisionTrace.record(requestId, 'Refused without asking the upstream.', facts);
+    decisionTrace.requestEnded(requestId, true);
   }
 
   private refusalBeforeAdmission(
@@ -175,7 +186,10 @@
     const { attempts, decisionTrace } = this.options;
     const { requestId } = context;
     const barredRefusal = route.idempotent ? undefined : attempts.register(requestId, context.try);
-    if (barredRefusal) return barredRefusal;
+    if (barredRefusal) {
+      this.recordRefusal(requestId, barredRefusal);
+      return barredRefusal;
+    }
     const ownLevel = requestLevel(context.class, context.rootId);
     const callLevel = upstream.admission.limit.isShedding
       ? progressLevel(ownLevel, context.callsBefore)
@@ -209,6 +223,7 @@
     const startedAt = clock.now();
     decisionTrace.record(context.requestId, 'Given to the upstream.', {
       instance: upstream.instanceId,
+      process: this.options.process.id,
       remainingMs: context.remainingMs,
       inFlight: upstream.admission.load().inFlight,
     });
@@ -365,6 +380,8 @@
   }
 }
 
+const OTHER_EPOCH: SealOutcome = { state: 'OTHER_EPOCH', head: undefined, body: Buffer.alloc(0) };
+
 /** A full upstream takes about this long to clear its backlog. */
 const SHED_DETAILS = { elsewhereHelps: true, retryAfterMs: 1000 };
 
--- a/packages/calls/src/upstreamFailures.ts
+++ b/packages/calls/src/upstreamFailures.ts
@@ -61,6 +61,12 @@
     }
     if (isConnectFailure(error)) {
       if (!route.idempotent) attempts.markNotDispatched(context.requestId);
+      const { code = 'unknown', syscall = 'none' } = error as { code?: string; syscall?: string };
+      decisionTrace.record(context.requestId, 'No connection to the upstream could be opened.', {
+        code,
+        syscall,
+      });
+      decisionTrace.requestEnded(context.requestId, true);
       upstream.onConnectionRefused();
       return createRefusal('unreachable', 'The upstream refused the connection.', { elsewhereHelps: true });
     }
--- a/packages/daemon/src/daemonCore.ts
+++ b/packages/daemon/src/daemonCore.ts
@@ -10,6 +10,7 @@
   PeerServer,
   DecisionTrace,
   Peers,
+  ProcessIdentity,
   type RetryBudget,
   RoomWaits,
   RunningCalls,
@@ -136,6 +137,8 @@
 
   private constructor(
     private readonly options: CoreOptions,
+    /** Identifies this process of the daemon. */
+    readonly process: ProcessIdentity,
     private readonly peerServer: PeerServer,
     private readonly datagrams: UdpDatagrams,
     /** ip:port of the peer protocol; identifies the daemon. */
@@ -207,6 +210,7 @@
     });
     this.upstreamDispatcher = new UpstreamDispatcher({
       clock,
+      process,
       epoch: () => this.membership.me.epoch,
       routeOf: options.routeOf,
       dialect: options.dialect,
@@ -251,15 +255,17 @@
     const { ip, innerPort, gossipPort } = options.settings;
     const datagrams = await UdpDatagrams.bind(ip, gossipPort);
     const started: { core?: DaemonCore } = {};
+    const process = new ProcessIdentity(options.clock);
     const server = new PeerServer({
       clock: options.clock,
+      process,
       exchange: (head, body, signal) => requireCore(started).exchange(head, body, signal),
       seal: request => requireCore(started).upstreamDispatcher.seal(request),
       configuration: options.createConfigurationResponse,
       scheduler: options.scheduler,
     });
     const port = await server.listen(ip, innerPort);
-    started.core = new DaemonCore(options, server, datagrams, `${ip}:${String(port)}`);
+    started.core = new DaemonCore(options, process, server, datagrams, `${ip}:${String(port)}`);
     return started.core;
   }
 
--- a/tests/linkServer.spec.ts
+++ b/tests/linkServer.spec.ts
@@ -67,6 +67,7 @@
         clock,
         handle,
         scheduler: new RequestScheduler(clock, () => isLagging),
+        process: 'p',
         configuration: NO_CONFIGURATION,
       }),
     ).to.be.instanceOf(LinkServer);
@@ -93,6 +94,7 @@
       clock: manualClock,
       handle,
       scheduler: new RequestScheduler(manualClock, () => true),
+      process: 'p',
       configuration: NO_CONFIGURATION,
     });
     server.receive(encodeFrame(REQUEST));
@@ -118,6 +120,7 @@
           return Promise.resolve(singlePartResponse(refusalPart(createRefusal('overloaded', ''), 0)));
         },
         scheduler: new RequestScheduler(manualClock, () => false),
+        process: 'p',
         configuration: NO_CONFIGURATION,
       });
       // The client's clock is 500 s ahead, and its first frame was in transit for 3 ms.
--- a/tests/uploadLoad.spec.ts
+++ b/tests/uploadLoad.spec.ts
@@ -64,7 +64,13 @@
           baseDigest: '',
           sections: [],
         });
-        new LinkServer(socket, { clock, scheduler, configuration, handle: (...call) => handle(...call) });
+        new LinkServer(socket, {
+          clock,
+          scheduler,
+          process: 'p',
+          configuration,
+          handle: (...call) => handle(...call),
+        });
       });
       await new Promise<void>(resolve => listener.listen(0, '127.0.0.1', resolve));
     });
