Take an attempt for not run only if the process that it was sent to says so

What callers saw: a request that must run once ran twice, or was answered 503 though it had run.

Cause: a sender that lost the link to a daemon asks its address to seal the attempt, and took SEALED for a proof that it had not run. The only thing that told whether the same process answered was its epoch, a wall clock, or that of its old record plus one: two processes of a daemon can have the same. An empty registry then sealed what the process before it had run.

Change: a seal request names the process that the link led to, as that process told it, and SEALED counts only in an answer of that process. A sender that names none (an earlier build, or a search) is told SEALED only if the attempt has arrived here. An answer of an earlier build proves nothing, so that in a release the outcome of an attempt that is lost there is unknown. An epoch that changed while its process lived no longer hides what that process knows.

Why it works: a connection leads to one process for as long as it lives, and 128 random bits of the machine are not drawn twice; neither depends on a clock, on gossip or on who is at an address.

--- a/packages/calls/src/attemptRegistry.ts
+++ b/packages/calls/src/attemptRegistry.ts
@@ -4,6 +4,7 @@
  */
 import { Cancellation, type Clock, NO_LONGER_NEEDED } from '@cleatquay/clock';
 import { type Refusal, type SealAnswer, type SealRequest, createRefusal } from '@cleatquay/protocol';
+import { UNKNOWN_PROCESS } from './processIdentity.js';
 import { type RecordedResponse } from './responses.js';
 
 const MAX_RECORDS = 50_000;
@@ -13,7 +14,9 @@
 type AttemptState = 'admitting' | 'refused' | 'sealed' | 'dispatched' | 'answered' | 'lost';
 
 interface AttemptRecord {
-  try: number;
+  readonly try: number;
+  /** Whether the attempt itself arrived at this process; a seal request may have come before it, or in its place. */
+  readonly hasArrived: boolean;
   state: AttemptState;
   response: RecordedResponse | undefined;
   /** Resolves when a dispatched attempt has ended. */
@@ -51,7 +54,7 @@
     if (this.records.size >= MAX_RECORDS || this.responseBytes >= MAX_RESPONSE_BYTES) {
       return createRefusal('memoryFull', 'Too many request results are stored.', { elsewhereHelps: true });
     }
-    this.add(requestId, attempt, 'admitting');
+    this.add(requestId, attempt, 'admitting', true);
     return undefined;
   }
 
@@ -87,12 +90,19 @@
     record.end();
   }
 
-  /** Seals the attempt if it was not dispatched; if it is running, waits up to `waitMs` for its end. */
+  /**
+   * Seals the attempt if it was not dispatched; if it is running, waits up to `waitMs` for its end. That it was not dispatched here shows that it
+   * has not run only if it was sent to this process: the request names the process, or the attempt has arrived.
+   */
   async seal(request: SealRequest): Promise<SealOutcome> {
-    const record = this.records.get(request.requestId) ?? this.add(request.requestId, request.try, 'sealed');
+    const { requestId, targetProcess, waitMs } = request;
+    const record = this.records.get(requestId) ?? this.add(requestId, request.try, 'sealed', false);
     if (record.state === 'admitting' || record.state === 'refused') record.state = 'sealed';
-    if (record.state === 'dispatched' && request.waitMs > 0) await this.waitFor(record, request.waitMs);
-    return outcomeOf(record);
+    if (record.state === 'dispatched' && waitMs > 0) await this.waitFor(record, waitMs);
+    const outcome = outcomeOf(record);
+    const hasArrived = record.hasArrived && record.try === request.try;
+    const isSentHere = targetProcess !== UNKNOWN_PROCESS || hasArrived;
+    return outcome.state === 'SEALED' && !isSentHere ? { ...outcome, state: 'OTHER_PROCESS' } : outcome;
   }
 
   private async waitFor(record: AttemptRecord, waitMs: number): Promise<void> {
@@ -101,10 +111,10 @@
     waited.abort(NO_LONGER_NEEDED);
   }
 
-  private add(requestId: string, attempt: number, state: AttemptState): AttemptRecord {
+  private add(requestId: string, attempt: number, state: AttemptState, hasArrived: boolean): AttemptRecord {
     let end: () => void = () => undefined;
     const whenEnded = new Promise<void>(resolve => (end = resolve));
-    const record: AttemptRecord = { try: attempt, state, response: undefined, whenEnded, end };
+    const record: AttemptRecord = { try: attempt, hasArrived, state, response: undefined, whenEnded, end };
     this.records.set(requestId, record);
     this.clock.after(this.lifetimeMs(), () => this.forget(requestId, record));
     return record;
--- a/packages/calls/src/forwarder.ts
+++ b/packages/calls/src/forwarder.ts
@@ -33,6 +33,7 @@
 import { FingerprintedRequest } from './fingerprintedRequest.js';
 import { type RequestBody } from './requestBody.js';
 import { bodyFailureRefusal, mayBeSentAgain, uploadRefusalAfterLoss } from './decideUploadReplay.js';
+import { UNKNOWN_PROCESS } from './processIdentity.js';
 import { NON_IDEMPOTENT_GRACE_MS } from './upstreamDispatcher.js';
 
 const SEAL_TIMEOUT_MS = 1000;
@@ -270,13 +271,13 @@
       return { refusal, unusedRetryTokens: 0, load: undefined };
     }
     using timeLimit = this.limitTime(attempt);
-    const seal = await this.seal(attempt, timeLimit.signal);
+    const seal = await this.seal(attempt, error.process, timeLimit.signal);
     if (seal?.state === 'ANSWERED' && seal.head) {
       const part = replay({ head: seal.head, body: seal.body });
       return singlePartResponse({ ...part, unusedRetryTokens: attempt.retainedTokens });
     }
     const refusal =
-      seal?.state === 'SEALED'
+      seal?.state === 'SEALED' && isSealOf(error.process, seal)
         ? createRefusal(
             'sealed',
             'The connection was lost, and the attempt was sealed before it ran.',
@@ -290,11 +291,16 @@
   }
 
   /** Sends seal requests until one has a definite response or the signal aborts. */
-  private async seal(attempt: Attempt, signal: CancelSignal): Promise<SealAnswer | undefined> {
+  private async seal(
+    attempt: Attempt,
+    targetProcess: string,
+    signal: CancelSignal,
+  ): Promise<SealAnswer | undefined> {
     const { peers, clock, decisionTrace } = this.options;
     const { requestId, try: attemptNumber, targetEpoch } = attempt.context;
+    const waitMs = SEAL_TIMEOUT_MS / 2;
+    const request = { requestId, try: attemptNumber, targetEpoch, targetProcess, waitMs };
     while (!signal.aborted) {
-      const request = { requestId, try: attemptNumber, targetEpoch, waitMs: SEAL_TIMEOUT_MS / 2 };
       const response = await peers
         .seal(attempt.candidate.address, request, SEAL_TIMEOUT_MS)
         .catch(() => undefined);
@@ -336,6 +342,11 @@
 
 const NOTHING_TO_DISPOSE = () => undefined;
 
+/** Whether a seal is by the process that the attempt was sent to. One of an earlier build doesn't tell, so that nothing is proved. */
+function isSealOf(process: string, seal: SealAnswer): boolean {
+  return process !== UNKNOWN_PROCESS && seal.process === process;
+}
+
 /** A long response, whose checksum can only be verified at its end; it fails there on a mismatch. */
 async function* verifiedRest(
   rest: AsyncIterable<AnswerPart>,
--- a/packages/calls/src/ingress.ts
+++ b/packages/calls/src/ingress.ts
@@ -7,6 +7,7 @@
   NEVER_CANCELLED,
 } from '@cleatquay/clock';
 import {
+  ANY_EPOCH,
   type AnswerPart,
   type CallContext,
   type Refusal,
@@ -31,6 +32,7 @@
 import { type DecisionTrace } from './decisionTrace.js';
 import { ConnectionLoss } from './connectionLoss.js';
 import { type Peers } from './peers.js';
+import { UNKNOWN_PROCESS } from './processIdentity.js';
 import { type HeaderBlock } from './headers.js';
 import { type QuotaGate, type ForwardRequest } from './quotaGate.js';
 import { ReplayableBody } from './replayableBody.js';
@@ -377,7 +379,8 @@
     const request = {
       requestId: call.context.requestId,
       try: 0,
-      targetEpoch: 0,
+      targetEpoch: ANY_EPOCH,
+      targetProcess: UNKNOWN_PROCESS,
       waitMs: SEARCH_TIMEOUT_MS / 2,
     };
     do {
--- a/packages/calls/src/upstreamDispatcher.ts
+++ b/packages/calls/src/upstreamDispatcher.ts
@@ -35,7 +35,7 @@
 import { type UpstreamResponse } from './upstreamExchange.js';
 import { type AdmittedCall, UpstreamFailures, quarantineStatusOf } from './upstreamFailures.js';
 import { type CrashDetector, receivedFingerprint } from './crashDetector.js';
-import { type ProcessIdentity } from './processIdentity.js';
+import { type ProcessIdentity, UNKNOWN_PROCESS } from './processIdentity.js';
 import { type UpstreamDialect } from './upstreamDialect.js';
 
 /** How long a non-idempotent request may continue after its deadline, so that its outcome can be determined. */
@@ -148,12 +148,17 @@
 
   /** Handles the seal request of a sender that lost the connection during an attempt. */
   async seal(request: SealRequest): Promise<SealAnswer> {
-    const { process, epoch, attempts } = this.options;
-    const isOtherEpoch = request.targetEpoch !== ANY_EPOCH && request.targetEpoch !== epoch();
-    const outcome = isOtherEpoch ? OTHER_EPOCH : await attempts.seal(request);
+    const { process, attempts } = this.options;
+    const outcome = this.isMeantForOther(request) ? OTHER_PROCESS : await attempts.seal(request);
     return { ...outcome, process: process.id, processAgeMs: process.ageMs };
   }
 
+  private isMeantForOther({ targetProcess, targetEpoch }: SealRequest): boolean {
+    const { process, epoch } = this.options;
+    if (targetProcess !== UNKNOWN_PROCESS) return targetProcess !== process.id;
+    return targetEpoch !== ANY_EPOCH && targetEpoch !== epoch();
+  }
+
   /** Records a refusal of this daemon that did not reach the upstream. */
   private recordRefusal(requestId: string, { code, outcome, message }: Refusal): void {
     const { decisionTrace, process } = this.options;
@@ -380,7 +385,7 @@
   }
 }
 
-const OTHER_EPOCH: SealOutcome = { state: 'OTHER_EPOCH', head: undefined, body: Buffer.alloc(0) };
+const OTHER_PROCESS: SealOutcome = { state: 'OTHER_PROCESS', head: undefined, body: Buffer.alloc(0) };
 
 /** A full upstream takes about this long to clear its backlog. */
 const SHED_DETAILS = { elsewhereHelps: true, retryAfterMs: 1000 };
--- a/tests/attemptRegistry.spec.ts
+++ b/tests/attemptRegistry.spec.ts
@@ -3,6 +3,7 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 
+const SEAL_REQUEST = { requestId: 'id', try: 1, targetEpoch: 0, targetProcess: 'p', waitMs: 0 };
 const RESPONSE = { head: { status: 200, headers: '', unframed: false }, body: Buffer.from('done') };
 
 describe('the attempt registry', () => {
@@ -25,7 +26,7 @@
             dispatched = true;
           }
           if (event === 'seal') {
-            const { state } = await registry.seal({ requestId: 'id', try: 1, targetEpoch: 0, waitMs: 0 });
+            const { state } = await registry.seal(SEAL_REQUEST);
             if (state === 'SEALED') expect(dispatched, 'sealed after a dispatch').to.equal(false);
             sealed ||= state === 'SEALED';
           }
@@ -40,7 +41,26 @@
     registry.register('id', 1);
     registry.markDispatched('id');
     registry.markEnded('id', RESPONSE);
-    const { state, body } = await registry.seal({ requestId: 'id', try: 1, targetEpoch: 0, waitMs: 0 });
+    const { state, body } = await registry.seal(SEAL_REQUEST);
     expect([state, body.toString()]).to.deep.equal(['ANSWERED', 'done']);
   });
+
+  // Guards against a seal by a process that never got the attempt, and so can't know whether it ran.
+  describe('sealing an attempt of a sender that does not name the process', () => {
+    const request = { ...SEAL_REQUEST, targetProcess: '' };
+
+    it('proves nothing unless that attempt arrived, however often it is requested', async () => {
+      const registry = new AttemptRegistry(new ManualClock(), () => 1000);
+      for (let i = 0; i < 2; i++) expect((await registry.seal(request)).state).to.equal('OTHER_PROCESS');
+      expect(registry.register('id', 1)?.outcome).to.equal('not-run');
+    });
+
+    it('proves that it has not run if it arrived and was refused', async () => {
+      const registry = new AttemptRegistry(new ManualClock(), () => 1000);
+      registry.register('id', 1);
+      registry.markRefused('id');
+      expect((await registry.seal(request)).state).to.equal('SEALED');
+      expect((await registry.seal({ ...request, try: 2 })).state).to.equal('OTHER_PROCESS');
+    });
+  });
 });
