Send an upstream's notice to a daemon again once the link to it has ended, whatever its epoch

What callers could see: requests beyond a rate limit, or at an upstream that is shutting down, from a daemon that was restarted and got the epoch of the process before it.

Cause: senders took equal epochs for the same process, which had reported the notice itself, and did not send it.

Change: a notice counts as known to a daemon for as long as the link on which it was reported, which leads to one process. Calls name no epoch any more: a restarted daemon need not refuse them, since lost attempts are sealed by process.

--- a/packages/calls/src/forwarder.ts
+++ b/packages/calls/src/forwarder.ts
@@ -1,6 +1,7 @@
 /** Forwards calls to upstreams: selects one, sends the request, verifies the response, seals lost attempts, and retries within the budget. */
 import { CALLER_DISCONNECTED, type CancelSignal, Cancellation } from '@cleatquay/clock';
 import {
+  ANY_EPOCH,
   type AnswerPart,
   type CallContext,
   type Refusal,
@@ -141,7 +142,7 @@
       try: attemptNumber,
       remainingMs,
       retryTokens: tokensToSend,
-      targetEpoch: candidate.epoch,
+      targetEpoch: ANY_EPOCH,
       toHome: false,
       isRepeat,
     };
@@ -159,7 +160,7 @@
         ...head,
         context: attemptContext,
         ...fingerprinted.headFields(quarantine),
-        notice: this.notices.noticeFor(route.service, candidate),
+        notice: this.notices.noticeFor(route.service, candidate.address),
       },
       context: attemptContext,
       candidate,
@@ -240,7 +241,7 @@
       if (load) router.recordLoad(candidate.address, route.name, load);
     };
     onLoad(first);
-    this.notices.record(route.service, candidate, first);
+    this.notices.record(route.service, candidate.address, first);
     const { refusal, unusedRetryTokens, load } = first;
     if (refusal) return { refusal, unusedRetryTokens, load };
     const check = new BodyChecksum();
--- a/packages/calls/src/peerNotices.ts
+++ b/packages/calls/src/peerNotices.ts
@@ -4,12 +4,11 @@
  * until it reports a notice itself or responds without one.
  */
 import { type AnswerPart, type UpstreamNotice } from '@cleatquay/protocol';
-import { type Candidate } from '@cleatquay/routing';
 
 interface ReceivedNotice {
-  /** Identifies the daemon's process that sent it. */
-  readonly epoch: number;
   readonly notice: UpstreamNotice;
+  /** Whether the daemon has reported it on the present link, which leads to one process only. */
+  isFromPresentLink: boolean;
 }
 
 /** The latest notice of each service's upstream, by the address of its daemon. */
@@ -20,16 +19,21 @@
    * Records what the first part of a response reports. A refusal without a notice does not show that the upstream has none:
    * the daemon itself may have sent it.
    */
-  record(service: string, { address, epoch }: Candidate, { head, notice }: AnswerPart): void {
-    if (notice) this.store(address, service, { epoch, notice });
+  record(service: string, address: string, { head, notice }: AnswerPart): void {
+    if (notice) this.store(address, service, { notice, isFromPresentLink: true });
     else if (head && this.byAddress.size > 0) this.byAddress.get(address)?.delete(service);
   }
 
   /** The notice to send to a daemon; undefined if there is none or the same process has reported it. */
-  noticeFor(service: string, { address, epoch }: Candidate): UpstreamNotice | undefined {
+  noticeFor(service: string, address: string): UpstreamNotice | undefined {
     if (this.byAddress.size === 0) return undefined;
     const received = this.byAddress.get(address)?.get(service);
-    return received?.epoch === epoch ? undefined : received?.notice;
+    return received?.isFromPresentLink === false ? received.notice : undefined;
+  }
+
+  /** The link to a daemon has ended: the next one may lead to another process. */
+  linkEnded(address: string): void {
+    for (const received of this.byAddress.get(address)?.values() ?? []) received.isFromPresentLink = false;
   }
 
   /** Discards the notices of a daemon that was removed permanently. */
--- a/packages/calls/src/peers.ts
+++ b/packages/calls/src/peers.ts
@@ -52,6 +52,8 @@
     private readonly clock: Clock,
     /** Whether fault injection drops the traffic to a peer; a hook for tests. */
     private readonly isPartitioned: (address: string) => boolean,
+    /** Called with the address of a peer when the link to it has ended. */
+    private readonly onLinkLost: (address: string) => void = () => undefined,
   ) {}
 
   /** Makes one call to a peer. Rejects with ConnectionLoss if the call ends before its last part. */
@@ -213,6 +215,7 @@
   private onLinkEnd(address: string, link: LinkClient): void {
     if (this.links.get(address) !== link) return;
     this.links.delete(address);
+    this.onLinkLost(address);
     this.closeClient(address);
     this.startReconnecting(address);
   }
--- a/packages/daemon/src/daemonCore.ts
+++ b/packages/daemon/src/daemonCore.ts
@@ -199,7 +199,7 @@
     this.decisionTrace = new DecisionTrace(clock, requests.write);
     this.chains = new CallChains(clock, random, this.decisionTrace);
     this.attempts = new AttemptRegistry(clock, options.attemptRetentionMs);
-    this.peers = new Peers(clock, isPartitioned);
+    this.peers = new Peers(clock, isPartitioned, address => this.forwarder.notices.linkEnded(address));
     this.router = new Router({
       clock,
       random,
--- a/packages/routing/src/upstreamDirectory.ts
+++ b/packages/routing/src/upstreamDirectory.ts
@@ -5,7 +5,6 @@
 export interface Candidate {
   /** ip:port of the daemon's peer protocol. */
   readonly address: string;
-  readonly epoch: number;
   readonly failureDomain: string;
   readonly slots: number;
 }
@@ -25,9 +24,9 @@
     const isUp = member.state === 'ALIVE' || member.state === 'SUSPECT';
     const ready = isUp ? member.upstreams.filter(upstream => !upstream.draining) : [];
     for (const { service, slots } of ready) {
-      const { address, epoch, failureDomain } = member;
+      const { address, failureDomain } = member;
       const candidates = this.byService.get(service) ?? new Map<string, Candidate>();
-      candidates.set(address, { address, epoch, failureDomain, slots });
+      candidates.set(address, { address, failureDomain, slots });
       this.byService.set(service, candidates);
       this.incrementVersion(service);
     }
--- a/tests/callTime.spec.ts
+++ b/tests/callTime.spec.ts
@@ -71,8 +71,7 @@
     end('answered');
   };
   const expectedMs = (address: string) =>
-    router.statisticsSummary({ candidate: { address, epoch: 1, failureDomain: 'a', slots: SLOTS } }, 'r')
-      .expectedMs!;
+    router.statisticsSummary({ candidate: { address, failureDomain: 'a', slots: SLOTS } }, 'r').expectedMs!;
 
   it('is that of the less utilised of two random upstreams where no load is reported', () => {
     const operation = fc.record({
--- a/tests/failureDomains.spec.ts
+++ b/tests/failureDomains.spec.ts
@@ -103,7 +103,7 @@
   describe('in the choice of one daemon', () => {
     const clock = new ManualClock();
     const measured = (port: number, failureDomain: string, slots = 10): MeasuredCandidate => {
-      const candidate = { address: `127.0.0.1:${String(port)}`, epoch: 1, failureDomain, slots };
+      const candidate = { address: `127.0.0.1:${String(port)}`, failureDomain, slots };
       return { candidate, statistics: new PeerStatistics(clock) };
     };
     /** Two random choices, as the router makes them. */
