Let a quota coordinator know its own leases by a random number in place of its epoch

Cause: a lease names the process that holds it by its epoch, which the next process at the address can have, too. It then granted from a share that its lessor might lease to another one at the same time, for up to 0.8 s.

Change: the coordinator draws a number of 48 bits; lessors, of this build and of earlier ones, return it as they got it. On the wire it takes the place of the epoch.

--- a/packages/daemon/src/createFleetQuotas.ts
+++ b/packages/daemon/src/createFleetQuotas.ts
@@ -28,7 +28,6 @@
     clock,
     random,
     now: () => elapsedTime.now(),
-    epoch: () => membership.me.epoch,
     division,
     self: membership.me.gossipAddress,
     failureDomain,
--- a/packages/organisations/src/index.ts
+++ b/packages/organisations/src/index.ts
@@ -1,6 +1,7 @@
 /** Organisations that send requests: identification by API key, priorities and quotas. */
 export { type Credentials, parseCredentials, digestOfKey } from './credentials.js';
 export { type QuotaMember } from './coordinatorDirectory.js';
+export { QuotaCoordinator } from './quotaCoordinator.js';
 export { Quotas, type QuotasOptions } from './quotas.js';
 export { type QuotaDecision } from './quotaQueue.js';
 export { type QuotaDivision, QuotaBuckets } from './quotaBuckets.js';
--- a/packages/organisations/src/quotaCoordinator.ts
+++ b/packages/organisations/src/quotaCoordinator.ts
@@ -6,6 +6,7 @@
   type QuotaQuestion,
   type ShareLoan,
 } from '@cleatquay/protocol';
+import { randomInt } from 'node:crypto';
 import { type Quota } from './organisation.js';
 import { type QuotaDivision, QuotaBuckets } from './quotaBuckets.js';
 import { LEASE_MS } from './shareLeases.js';
@@ -17,12 +18,13 @@
  */
 const MIN_CONCLUSIVE_SHARE = 1 / 4;
 
+/** The most that the machine's generator gives. */
+const MAX_HOLDER = 2 ** 48 - 1;
+
 /** Dependencies of the coordinator. */
 export interface QuotaCoordinatorOptions {
   /** Monotonic time that includes suspension of the VM, ms. */
   readonly now: () => number;
-  /** Identifies this process of the daemon. */
-  readonly epoch: () => number;
   readonly division: QuotaDivision;
   /** Quota by organisation; undefined if the organisation is unknown, 'none' if it has no limit. */
   readonly quotaOf: (organisation: string) => Quota | 'none' | undefined;
@@ -33,6 +35,8 @@
 /** The token buckets of all shards; most shards are coordinated by other daemons. */
 export class QuotaCoordinator {
   private readonly shards: readonly QuotaBuckets[];
+  /** Tells leases for this coordinator from those for an earlier process of its daemon. */
+  private readonly holder = randomInt(1, MAX_HOLDER);
 
   constructor(private readonly options: QuotaCoordinatorOptions) {
     this.shards = Array.from({ length: SHARD_COUNT }, () => new QuotaBuckets(options.division));
@@ -48,11 +52,11 @@
 
   /** Handles a request of another daemon, identified by its gossip address. */
   handleRequest({ number, shard, asks, loan, isTransfer }: QuotaQuestion, from: string): QuotaAnswer {
-    const { now, epoch, isInSameDomain } = this.options;
-    if (loan?.epoch === epoch() && isInSameDomain(from))
+    const { now, isInSameDomain } = this.options;
+    if (loan?.holder === this.holder && isInSameDomain(from))
       this.acceptLease(shard, from, loan.share, loan.until);
     const grants = asks.map(quotaRequest => this.grantFor(quotaRequest, isTransfer));
-    const offer: ShareLoan = { epoch: epoch(), until: now() + LEASE_MS, share: 0 };
+    const offer: ShareLoan = { holder: this.holder, until: now() + LEASE_MS, share: 0 };
     return { number, shard, grants, offer };
   }
 
--- a/packages/organisations/src/quotas.ts
+++ b/packages/organisations/src/quotas.ts
@@ -32,7 +32,7 @@
 
 /** Dependencies of the quotas. */
 export interface QuotasOptions
-  extends CoordinatorDirectoryOptions, Pick<QuotaCoordinatorOptions, 'now' | 'epoch' | 'division'> {
+  extends CoordinatorDirectoryOptions, Pick<QuotaCoordinatorOptions, 'now' | 'division'> {
   readonly clock: Clock;
   readonly random: Random;
   /**
--- a/packages/organisations/src/shareLessor.ts
+++ b/packages/organisations/src/shareLessor.ts
@@ -6,7 +6,7 @@
 const CLOCK_MARGIN = 1.04;
 
 interface Offer {
-  readonly epoch: number;
+  readonly holder: number;
   readonly until: number;
   /** Local receive time, ms: the offered lease ends at most one lease duration after it. */
   readonly receivedAt: number;
@@ -24,8 +24,8 @@
   }
 
   /** Records that a daemon offers to be coordinator for this daemon's share. */
-  recordOffer(coordinator: string, { epoch, until }: ShareLoan, now: number): void {
-    this.offers.set(coordinator, { epoch, until, receivedAt: now });
+  recordOffer(coordinator: string, { holder, until }: ShareLoan, now: number): void {
+    this.offers.set(coordinator, { holder, until, receivedAt: now });
   }
 
   /** The lease to send with a request; undefined while another daemon holds it, or without a recent offer. */
@@ -33,7 +33,7 @@
     const offer = this.offers.get(coordinator);
     if (!offer || now - offer.receivedAt >= LEASE_MS || !this.lease(coordinator, offer.receivedAt, now))
       return undefined;
-    return { epoch: offer.epoch, until: offer.until, share };
+    return { holder: offer.holder, until: offer.until, share };
   }
 
   /** Extends the coordinator's lease to one lease duration after `from`; returns false while another daemon's lease is valid. */
