Let the records of a process supersede those of an earlier one with the same epoch

What operators would see: a restarted daemon whose upstreams, drains and addresses the fleet does not learn, until it has changed its record as often as the process before it.

Cause: with equal epochs the incarnation decides, which began at 1 in each process.

Change: incarnations begin at random; a process that hears a record of its address with its own epoch and a higher incarnation takes a higher epoch, as for a higher epoch.

--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -20,6 +20,8 @@
 import { Probes } from './probes.js';
 
 const PROBE_INTERVAL_MS = 1000;
+/** Incarnations begin at random: two processes of an address may have the same epoch, and the records of one must supersede those of the other. */
+const MAX_FIRST_INCARNATION = 2 ** 20;
 const ACK_TIMEOUT_MS = 300;
 const INDIRECT_PROBES = 3;
 const SUSPICION_PERIODS = 4;
@@ -80,7 +82,8 @@
   private running: Promise<void> = Promise.resolve();
 
   constructor(private readonly options: MembershipOptions<Context>) {
-    this.self = { ...options.self, incarnation: 1, state: 'ALIVE', upstreams: [], isPlatformLost: false };
+    const incarnation = 1 + Math.floor(options.random() * MAX_FIRST_INCARNATION);
+    this.self = { ...options.self, incarnation, state: 'ALIVE', upstreams: [], isPlatformLost: false };
     this.table.put(this.self);
     this.probes = new Probes(options.clock, options.random, () => options.proofs?.captureContext());
     options.datagrams.receive(bytes => this.receive(bytes));
@@ -279,7 +282,10 @@
 
   /** Refutes a record about this daemon from others that has a worse state, or stems from an earlier process at this address. */
   private refute(record: Member): void {
-    if (record.epoch > this.self.epoch) return this.assertSelf({ epoch: record.epoch + 1 });
+    const isOfOtherProcess =
+      record.epoch > this.self.epoch ||
+      (record.epoch === this.self.epoch && record.incarnation > this.self.incarnation);
+    if (isOfOtherProcess) return this.assertSelf({ epoch: record.epoch + 1 });
     const isAccused =
       record.epoch === this.self.epoch && record.state !== 'ALIVE' && this.self.state === 'ALIVE';
     if (!isAccused || record.incarnation < this.self.incarnation) return;
