Put the identity of the process into request ids in place of its epoch

What callers could see: on the native interface, a request that is sent again with its id runs a second time, if its home daemon was restarted with the same epoch; and two requests with the same id.

Cause: the home daemon of an id took it for its own if the epoch was, though its records were another process's, and began to count at 1 again.

Change: ids have eleven base-36 digits of the process's 128 random bits where the epoch was, as many as earlier builds accept there, so that old and new builds pass on each other's ids in a release.

--- a/packages/calls/src/ingress.ts
+++ b/packages/calls/src/ingress.ts
@@ -32,7 +32,7 @@
 import { type DecisionTrace } from './decisionTrace.js';
 import { ConnectionLoss } from './connectionLoss.js';
 import { type Peers } from './peers.js';
-import { UNKNOWN_PROCESS } from './processIdentity.js';
+import { type ProcessIdentity, UNKNOWN_PROCESS } from './processIdentity.js';
 import { type HeaderBlock } from './headers.js';
 import { type QuotaGate, type ForwardRequest } from './quotaGate.js';
 import { ReplayableBody } from './replayableBody.js';
@@ -68,7 +68,7 @@
   readonly clock: Clock;
   /** ip:port of the peer protocol of this daemon. */
   readonly self: string;
-  readonly epoch: () => number;
+  readonly process: Pick<ProcessIdentity, 'digits'>;
   readonly graph: () => CallGraph | undefined;
   readonly generation: () => number;
   readonly forwarder: Forwarder;
@@ -331,10 +331,10 @@
 
   /** Handles a request whose id this daemon issued: no other may start it. */
   private async *runAsHome(call: AuthenticatedRequest): AsyncGenerator<AnswerPart> {
-    const { clock, deduplicator, epoch, forwarder } = this.options;
+    const { clock, deduplicator, process, forwarder } = this.options;
     const { requestId, remainingMs } = call.context;
     const id = parseRequestId(requestId);
-    if (id?.epoch !== epoch()) {
+    if (id?.process !== process.digits) {
       yield* this.searchResponse(
         call,
         createRefusal('homeRestarted', 'The daemon that issued the id was restarted.'),
--- a/packages/calls/src/processIdentity.ts
+++ b/packages/calls/src/processIdentity.ts
@@ -4,6 +4,10 @@
 
 const ID_BYTES = 16;
 
+/** Radix of the numbers in request ids. */
+export const REQUEST_ID_RADIX = 36;
+const REQUEST_ID_DIGITS = 11;
+
 /** Stands for the process of an earlier build, which does not tell its identity. */
 export const UNKNOWN_PROCESS = '';
 
@@ -17,6 +21,9 @@
     this.startedAt = clock.now();
   }
 
+  /** The part of the id in request ids: as many base-36 digits as earlier builds accept there. */
+  readonly digits = BigInt(`0x${this.id}`).toString(REQUEST_ID_RADIX).slice(-REQUEST_ID_DIGITS);
+
   /** How long this process has run, ms. */
   get ageMs(): number {
     return this.clock.now() - this.startedAt;
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -210,18 +210,17 @@
   private createIngress(): Ingress {
     const { clock } = this.options;
     const { core, deduplicator } = this;
-    const epoch = () => core.membership.me.epoch;
     return new Ingress({
       clock,
       self: core.self,
-      epoch,
+      process: core.process,
       graph: () => this.configuration.active,
       generation: () => this.configuration.generation,
       forwarder: core.forwarder,
       peers: core.peers,
       directory: core.directory,
       deduplicator,
-      ids: new RequestIdIssuer(clock, core.self, epoch),
+      ids: new RequestIdIssuer(clock, core.self, core.process),
       idempotencyKeys: new IdempotencyKeys(clock, this.store),
       running: core.running,
       decisionTrace: core.decisionTrace,
