End a connection to an upstream after 64 KiB that belong to no body, and parse little of a head at once

Cause: only the head of a response has a limit, in undici's parser. That goes on with all that it got after the limit, with an error object for each line; interim responses and chunk extensions have none.

Change: the reader of a connection counts the bytes since its request or since the last part of a body, and destroys the connection after 64 KiB. Until a body begins, the parser gets 4 KiB at once, 512 bytes beyond 12 KiB. Nothing is read from a connection that was destroyed.

--- a/packages/calls/src/heldReading.ts
+++ b/packages/calls/src/heldReading.ts
@@ -1,20 +1,33 @@
-/** Holds up the reader of a socket, to which it looks as if nothing had arrived yet. */
+/** Controls the reader of a socket: holds it up, and ends the connection when too many bytes come that lead to nothing. */
 import { type Socket } from 'node:net';
 
 /**
- * A socket whose reader can be held up. undici's own pause is not used: its parser must not be paused when the connection ends, and an assertion
- * then ends the process.
+ * Bytes that may come in a row without any of a body: head and interim responses, or chunk extensions and trailers. Several times what the
+ * parser accepts as the head of one response.
  */
+const MAX_BARREN_BYTES = 65_536;
+/** Bytes that the parser gets at once until the body begins. */
+const HEAD_READ_BYTES = 4096;
+/** The same near the limit of the parser, which reads all that it got and creates an error for each line beyond the limit. */
+const LONG_HEAD_READ_BYTES = 512;
+const LONG_HEAD_BYTES = 12_288;
+
+/** The response on a connection, as far as the reader of its socket is concerned. */
 export class HeldReading {
   private isHeld = false;
+  private hasBody = false;
+  private barrenBytes = 0;
 
   constructor(private readonly socket: Socket) {
-    const read = socket.read.bind(socket) as (bytes?: number) => unknown;
+    const read = socket.read.bind(socket) as (bytes?: number) => Buffer | null;
     // A read of no bytes is node's own, which looks for the end of the connection.
-    socket.read = (bytes?: number): unknown => (this.isHeld && bytes !== 0 ? null : read(bytes));
+    socket.read = (bytes?: number): unknown => (bytes === 0 ? read(0) : this.take(read));
   }
 
-  /** Until `release`, the reader gets nothing; the socket buffers a little, and then stops reading, too. */
+  /**
+   * Until `release`, the reader gets nothing; the socket buffers a little, and then stops reading, too. undici's own pause is not used: its parser
+   * must not be paused when the connection ends, and an assertion then ends the process.
+   */
   hold(): void {
     this.isHeld = true;
   }
@@ -27,4 +40,33 @@
       if (!this.isHeld && !this.socket.destroyed) this.socket.emit('readable');
     });
   }
+
+  /** A request is sent, whose response is read next. */
+  recordRequest(): void {
+    this.hasBody = false;
+    this.barrenBytes = 0;
+  }
+
+  /** The parser has found a part of the body in what it read. */
+  recordBody(): void {
+    this.hasBody = true;
+    this.barrenBytes = 0;
+  }
+
+  private get headReadBytes(): number {
+    return this.barrenBytes < LONG_HEAD_BYTES ? HEAD_READ_BYTES : LONG_HEAD_READ_BYTES;
+  }
+
+  private take(read: (bytes?: number) => Buffer | null): Buffer | null {
+    const { socket } = this;
+    // What arrived on a connection that was ended is of no use to anyone.
+    if (this.isHeld || socket.destroyed) return null;
+    const chunk = this.hasBody
+      ? read()
+      : read(Math.min(socket.readableLength, this.headReadBytes) || undefined);
+    this.barrenBytes += chunk?.length ?? 0;
+    if (this.barrenBytes <= MAX_BARREN_BYTES) return chunk;
+    socket.destroy(new Error('Too many bytes came that belong to no body.'));
+    return null;
+  }
 }
--- a/packages/calls/src/upstreamConnection.ts
+++ b/packages/calls/src/upstreamConnection.ts
@@ -106,6 +106,7 @@
   recordRequest(requestId: string): ConnectionUse {
     const { open } = this;
     if (!open) return NO_CONNECTION;
+    open.reading.recordRequest();
     const use = {
       connection: open.number,
       requestsBefore: open.requests++,
@@ -118,6 +119,11 @@
     return use;
   }
 
+  /** Records that a part of the body of the response has arrived. */
+  recordBody(): void {
+    this.open?.reading.recordBody();
+  }
+
   /** Reads nothing more of the response until `releaseReading`. */
   holdReading(): void {
     this.open?.reading.hold();
--- a/packages/calls/src/upstreamExchange.ts
+++ b/packages/calls/src/upstreamExchange.ts
@@ -108,6 +108,7 @@
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.connection?.recordBody();
     if (!this.restQueue) {
       this.startChunks.push(chunk);
       this.startBytes += chunk.length;
