Keep the timeout of a route while a response is streamed, and end responses that come after it

What callers saw: a non-idempotent request whose answer had begun streamed beyond the timeout of its route, for up to 10 s.

Cause: the timer was dropped with the first part; the daemon of the upstream ends idempotent runs itself, but leaves the others 10 s more. A response that came after the timeout was dropped without being ended, which held its connection and its place at the upstream.

Change: the timer runs until the last part; at the timeout, or when the caller leaves, the response is cut, as its caller can tell. A late response is begun and left.

--- a/packages/calls/src/relay.ts
+++ b/packages/calls/src/relay.ts
@@ -10,8 +10,10 @@
   Cancellation,
   type Clock,
   type Random,
+  type Timer,
 } from '@cleatquay/clock';
 import {
+  type AnswerPart,
   type CallContext,
   type Refusal,
   type RequestHead,
@@ -30,6 +32,7 @@
 import { type RequestBody } from './requestBody.js';
 import { stalledBodyRefusal } from './decideUploadReplay.js';
 import { type Uploads } from './uploads.js';
+import { discardRest } from './responses.js';
 import { recordOutcome } from './recordOutcome.js';
 import { whenCancelled } from './runCancellation.js';
 import { type RunningCall, type RunningCalls } from './runningCalls.js';
@@ -232,13 +235,14 @@
       });
       let isSettled = false;
       const settle = (response: CallResponse) => {
-        if (isSettled) return;
+        if (isSettled) return void discardRest(response);
         isSettled = true;
-        timer[Symbol.dispose]();
+        if (!response.rest) timer[Symbol.dispose]();
         stopFollowingRun();
         if (!cancellation.signal.aborted) chains.responseReceived(context, parent, response);
         recordOutcome(decisionTrace, context.requestId, response, clock.now() - startedAt);
-        resolve(response);
+        const { first, rest } = response;
+        resolve({ first, rest: rest && untilCancelled(rest, cancellation.signal, timer) });
       };
       forwarder
         .forward(callRoute, head, context, body, cancellation.signal)
@@ -281,6 +285,36 @@
   }
 }
 
+/** The parts of a response until `signal` aborts; throws then. */
+async function* untilCancelled(
+  parts: AsyncIterable<AnswerPart>,
+  signal: CancelSignal,
+  timer: Timer,
+): AsyncGenerator<AnswerPart> {
+  const iterator = parts[Symbol.asyncIterator]();
+  try {
+    for (;;) {
+      const next = await unlessAborted(iterator.next(), signal);
+      if (next.done === true) return;
+      yield next.value;
+    }
+  } finally {
+    timer[Symbol.dispose]();
+    // Waits for the part that is being read, which the caller need not do.
+    void iterator.return?.().catch(() => undefined);
+  }
+}
+
+/** Rejects when `signal` aborts, if that is earlier. */
+function unlessAborted<T>(result: Promise<T>, signal: CancelSignal): Promise<T> {
+  return new Promise((resolve, reject) => {
+    const stop = () => reject(new Error('The timeout of the route has passed, or the caller has left.'));
+    if (signal.aborted) stop();
+    signal.addEventListener('abort', stop, { once: true });
+    void result.then(resolve, reject).finally(() => signal.removeEventListener('abort', stop));
+  });
+}
+
 const NO_RESPONSE = 'No response was received within the timeout.';
 
 /** The pressure level falls by its range in 0.6 s and rises by it in 2 s, so that a refused request may be admitted after about a second. */
--- a/packages/calls/src/responses.ts
+++ b/packages/calls/src/responses.ts
@@ -88,6 +88,16 @@
   yield createPart({ body: Buffer.concat(pending), end: checksum.end, ...finish() });
 }
 
+/** Ends a response that nobody reads: its parts hold resources until they have been begun and left. */
+export async function discardRest({ rest }: CallResponse): Promise<void> {
+  if (!rest) return;
+  try {
+    for await (const part of rest) if (part) return;
+  } catch {
+    // It has ended.
+  }
+}
+
 /** A stored response as a single part. */
 export function replay({ head, body }: RecordedResponse): AnswerPart {
   const checksum = new BodyChecksum();
@@ -102,6 +112,11 @@
   private bytes = 0;
   private readonly checksum = new BodyChecksum();
 
+  /** Whether it has become too large to be stored. */
+  get isTooLarge(): boolean {
+    return this.bytes > MAX_RECORDED_BYTES;
+  }
+
   /**
    * Returns the response when its last part is added; undefined before that, for refusals, and for responses that are too
    * large to store or do not match their checksum.
