Read no more of a streamed response that nobody waits for

What operators saw: connections to upstreams that stay open and are read at any rate for 10 s after the caller of a non-idempotent request got its 504.

Cause: the server of a link read on after the call was cancelled, so that a response could be stored; one that is streamed never is. The native interface read on what was too long to be stored.

Change: both stop there, which closes the connection to the upstream.

--- a/packages/calls/src/linkServer.ts
+++ b/packages/calls/src/linkServer.ts
@@ -101,7 +101,7 @@
 
   /**
    * Processes one call. If the caller disconnects, a handler that is still running may finish, so that it can store the
-   * response.
+   * response; a response that is streamed is not stored, and is read no further.
    */
   private async processCall(
     number: number,
@@ -137,6 +137,7 @@
       if (cancellation.signal.aborted) window.close();
       for await (const part of response.rest) {
         if (!isFinalPart(part)) await window.acquire();
+        if (cancellation.signal.aborted) return;
         send(part);
       }
     } catch (error) {
--- a/packages/calls/src/requestDeduplicator.ts
+++ b/packages/calls/src/requestDeduplicator.ts
@@ -107,6 +107,7 @@
         if (part.refusal) return { kind: 'refused', refusal: part.refusal };
         const response = recorder.add(part);
         if (response) return { kind: 'answered', response };
+        if (recorder.isTooLarge) break;
       }
       return unknownOutcome('The response could not be stored in full.');
     } catch (error) {
