--- a/packages/standins/src/platform/platformUpstreamStandin.ts
+++ b/packages/standins/src/platform/platformUpstreamStandin.ts
@@ -30,6 +30,8 @@
   | 'respond-twice'
   /** Sends bytes that are not an HTTP response. */
   | 'invalid-response'
+  /** Sends bytes without end until its connection is closed. */
+  | 'endless'
   /** Responds before it has read the body, and then reads it. */
   | 'respond-before-body'
   /** Refuses the request, and reports that it did not run it. */
@@ -77,6 +79,8 @@
    * part of it.
    */
   queue: number;
+  /** What an endless response begins with, and what it repeats. */
+  endless: { readonly beginning: string; readonly repeated: string };
   /** Completes runs whose caller has disconnected. */
   runsToTheEnd: boolean;
 }
@@ -119,6 +123,7 @@
   reportedLoad: undefined,
   unevenness: EVEN,
   queue: Number.POSITIVE_INFINITY,
+  endless: { beginning: '', repeated: 'x' },
   runsToTheEnd: false,
 };
 
@@ -128,6 +133,8 @@
   readonly crashes: SimulatedCrash[] = [];
   /** Requests to which it does not respond because they could not be queued. */
   readonly unqueuedRequests: ReceivedRequest[] = [];
+  /** Connections with an endless response that are open. */
+  readonly endlessSockets = new Set<Socket>();
   /** Connections on which it no longer responds. */
   readonly silentSockets = new Set<Socket>();
   /** Second copies of responses, which are sent at the next request on their connection. */
@@ -377,6 +384,8 @@
         return void socket.end(`${head}Connection: close\r\n\r\n${text}`);
       case 'invalid-response':
         return void socket.end('not an HTTP response\r\n\r\n');
+      case 'endless':
+        return this.respondEndlessly(socket, requestId);
       case 'respond-twice':
         this.write(response, 200, requestId, text);
         return void setTimeout(() => socket.writable && socket.write(framed + text), 30);
@@ -385,6 +394,21 @@
     }
   }
 
+  /** Sends bytes as fast as they are taken. */
+  private respondEndlessly(socket: Socket, requestId: string): void {
+    const { beginning, repeated } = this.behaviour.endless;
+    const bytes = Buffer.from(repeated.repeat(Math.ceil(BODY_PART_BYTES / repeated.length)));
+    this.endlessSockets.add(socket);
+    socket.on('error', () => undefined);
+    socket.on('close', () => this.endlessSockets.delete(socket));
+    socket.write(beginning.replaceAll('{id}', requestId));
+    const send = () => {
+      while (!socket.destroyed && socket.write(bytes));
+    };
+    socket.on('drain', send);
+    send();
+  }
+
   private write(
     response: ServerResponse,
     status: number,
