--- a/tests/restartedDaemons.spec.ts
+++ b/tests/restartedDaemons.spec.ts
@@ -79,7 +79,7 @@
 
     ingress.signal('SIGSTOP');
     await restarted.kill();
-    other.signal('SIGUSR2');
+    other.signal('SIGWINCH');
     await restarted.restart();
     await epochAbove(other, epochAhead);
     ingress.signal('SIGCONT');
