Keep the record of an attempt while it runs, and for its lifetime after its end

What callers could see: a request that must run once runs twice, or is answered 503 though it runs, if it runs for over ten minutes and the link to its daemon is lost then.

Cause: the record was dropped 600 s after the attempt arrived, whether it ran or not.

Change: a record is dropped no sooner than its lifetime after its end, and never while the upstream runs the request.

Result: the new test fails before (SEALED where RUNNING is due) and passes now.

--- a/packages/calls/src/attemptRegistry.ts
+++ b/packages/calls/src/attemptRegistry.ts
@@ -19,6 +19,8 @@
   readonly hasArrived: boolean;
   state: AttemptState;
   response: RecordedResponse | undefined;
+  /** Clock time of its registration or end, whichever is later, ms. */
+  keptFrom: number;
   /** Resolves when a dispatched attempt has ended. */
   readonly whenEnded: Promise<void>;
   readonly end: () => void;
@@ -27,7 +29,7 @@
 /** The state of an attempt after a seal request. */
 export type SealOutcome = Pick<SealAnswer, 'state' | 'head' | 'body'>;
 
-/** Attempts by request id, each stored for the lifetime of an id. */
+/** Attempts by request id, each stored while it runs, and then for the lifetime of an id. */
 export class AttemptRegistry {
   private readonly records = new Map<string, AttemptRecord>();
   private responseBytes = 0;
@@ -78,6 +80,7 @@
     if (record?.state !== 'dispatched') return;
     record.state = response ? 'answered' : 'lost';
     record.response = response;
+    record.keptFrom = this.clock.now();
     this.responseBytes += response?.body.length ?? 0;
     record.end();
   }
@@ -87,6 +90,7 @@
     const record = this.records.get(requestId);
     if (record?.state !== 'dispatched') return;
     record.state = 'refused';
+    record.keptFrom = this.clock.now();
     record.end();
   }
 
@@ -114,14 +118,28 @@
   private add(requestId: string, attempt: number, state: AttemptState, hasArrived: boolean): AttemptRecord {
     let end: () => void = () => undefined;
     const whenEnded = new Promise<void>(resolve => (end = resolve));
-    const record: AttemptRecord = { try: attempt, hasArrived, state, response: undefined, whenEnded, end };
+    const record: AttemptRecord = {
+      try: attempt,
+      hasArrived,
+      state,
+      response: undefined,
+      keptFrom: this.clock.now(),
+      whenEnded,
+      end,
+    };
     this.records.set(requestId, record);
     this.clock.after(this.lifetimeMs(), () => this.forget(requestId, record));
     return record;
   }
 
+  /** Without its record, an attempt that runs or has run would look as if it had never arrived. */
   private forget(requestId: string, record: AttemptRecord): void {
     if (this.records.get(requestId) !== record) return;
+    const lifetimeMs = this.lifetimeMs();
+    const leftMs = record.keptFrom + lifetimeMs - this.clock.now();
+    const isRunning = record.state === 'dispatched';
+    if (isRunning || leftMs > 0)
+      return void this.clock.after(isRunning ? lifetimeMs : leftMs, () => this.forget(requestId, record));
     this.records.delete(requestId);
     this.responseBytes -= record.response?.body.length ?? 0;
   }
--- a/tests/attemptRegistry.spec.ts
+++ b/tests/attemptRegistry.spec.ts
@@ -45,6 +45,21 @@
     expect([state, body.toString()]).to.deep.equal(['ANSWERED', 'done']);
   });
 
+  // Guards against an attempt that runs for longer than its record is kept, and is sealed as if it had never arrived.
+  it('keeps an attempt while it runs, and for its lifetime after that', async () => {
+    const clock = new ManualClock();
+    const registry = new AttemptRegistry(clock, () => 1000);
+    registry.register('id', 1);
+    registry.markDispatched('id');
+    clock.advance(1900);
+    expect((await registry.seal(SEAL_REQUEST)).state).to.equal('RUNNING');
+    registry.markEnded('id', RESPONSE);
+    clock.advance(900);
+    expect((await registry.seal(SEAL_REQUEST)).state).to.equal('ANSWERED');
+    clock.advance(2000);
+    expect(registry.size).to.equal(0);
+  });
+
   // Guards against a seal by a process that never got the attempt, and so can't know whether it ran.
   describe('sealing an attempt of a sender that does not name the process', () => {
     const request = { ...SEAL_REQUEST, targetProcess: '' };
