--- a/packages/calls/src/forwarder.ts
+++ b/packages/calls/src/forwarder.ts
@@ -298,9 +298,9 @@
     signal: CancelSignal,
   ): Promise<SealAnswer | undefined> {
     const { peers, clock, decisionTrace } = this.options;
-    const { requestId, try: attemptNumber, targetEpoch } = attempt.context;
+    const { requestId, try: attemptNumber } = attempt.context;
     const waitMs = SEAL_TIMEOUT_MS / 2;
-    const request = { requestId, try: attemptNumber, targetEpoch, targetProcess, waitMs };
+    const request = { requestId, try: attemptNumber, targetEpoch: ANY_EPOCH, targetProcess, waitMs };
     while (!signal.aborted) {
       const response = await peers
         .seal(attempt.candidate.address, request, SEAL_TIMEOUT_MS)
