Give the choice of members a module of its own

Cause: membership.ts, the largest file of the product, held the order of probes and the random choice of members beside the protocol.

Change: moved to memberChoice.ts, unchanged.

Result: 37 tests of membership, proofs and keys pass.

--- a/packages/daemon/src/proofRenewer.ts
+++ b/packages/daemon/src/proofRenewer.ts
@@ -26,7 +26,7 @@
   readonly random: Random;
   readonly freshness: Freshness;
   readonly readers: Pick<PlatformReaders, 'sources' | 'isReader' | 'isFirstReader'>;
-  readonly membership: Pick<Membership, 'requestProof' | 'randomAlive' | 'table'>;
+  readonly membership: Pick<Membership, 'requestProof' | 'choice' | 'table'>;
   /** Longest time for which a key may be accepted after it was revoked, ms. */
   readonly revocationMs: number;
   /** Whether requests need keys. */
@@ -93,7 +93,7 @@
     const sourceAddress = membership.table.get(source ?? '')?.gossipAddress;
     if (sourceAddress !== undefined) membership.requestProof(sourceAddress);
     if (ageMs < revocationMs * STALE_RATIO) return;
-    for (const { gossipAddress } of membership.randomAlive(1)) membership.requestProof(gossipAddress);
+    for (const { gossipAddress } of membership.choice.randomAlive(1)) membership.requestProof(gossipAddress);
   }
 
   private logTransition(ageMs: number): void {
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -15,6 +15,7 @@
 } from '@cleatquay/protocol';
 import { BroadcastQueue } from './broadcastQueue.js';
 import { LocalHealth } from './localHealth.js';
+import { MemberChoice, isUp, shuffle } from './memberChoice.js';
 import { MemberTable } from './memberTable.js';
 import { type KnownConfiguration, type MembershipOptions } from './membershipOptions.js';
 import { Probes } from './probes.js';
@@ -75,7 +76,7 @@
   /** Monotonic time at which all verdicts were last sent to each gossip address, ms. */
   private readonly verdictsSentAt = new Map<string, number>();
   private readonly stopped = new AbortController();
-  private probeOrder: string[] = [];
+  readonly choice: MemberChoice;
   private broadcastTimer: Timer | undefined;
   private secondBroadcastTimer: Timer | undefined;
   private secondSyncTimer: Timer | undefined;
@@ -85,6 +86,7 @@
     const incarnation = 1 + Math.floor(options.random() * MAX_FIRST_INCARNATION);
     this.self = { ...options.self, incarnation, state: 'ALIVE', upstreams: [], isPlatformLost: false };
     this.table.put(this.self);
+    this.choice = new MemberChoice(this.table, options.random, options.self.address);
     this.probes = new Probes(options.clock, options.random, () => options.proofs?.captureContext());
     options.datagrams.receive(bytes => this.receive(bytes));
   }
@@ -110,7 +112,8 @@
     const unknown = gossipAddresses.filter(
       address => this.table.getByGossipAddress(address)?.state !== 'ALIVE',
     );
-    const joined = unknown.length > MAX_JOINS ? this.shuffle(unknown).slice(0, SAMPLED_JOINS) : unknown;
+    const joined =
+      unknown.length > MAX_JOINS ? shuffle(unknown, this.options.random).slice(0, SAMPLED_JOINS) : unknown;
     for (const address of joined) this.sendSync(address, true);
   }
 
@@ -163,7 +166,7 @@
   /** Announces that this daemon leaves the fleet, so that the others need not detect it. */
   leave(): void {
     this.assertSelf({ state: 'LEFT' });
-    for (const peer of this.randomAlive(FANOUT * 2)) this.send(peer.gossipAddress, {});
+    for (const peer of this.choice.randomAlive(FANOUT * 2)) this.send(peer.gossipAddress, {});
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -192,7 +195,7 @@
     const { clock } = this.options;
     for (let round = 1; !this.stopped.signal.aborted; round++) {
       const start = clock.now();
-      const target = this.nextTarget();
+      const target = this.choice.nextToProbe();
       if (target) await this.probe(target);
       if (round % SYNC_INTERVAL_ROUNDS === 0) this.syncWithRandomMember();
       if (this.isAlone()) for (const seed of this.options.seeds) this.sendSync(seed, true);
@@ -207,7 +210,7 @@
     const start = clock.now();
     const timeout = ACK_TIMEOUT_MS * this.health.multiplier;
     if (await this.ping(target.gossipAddress, timeout)) return this.health.recordSuccess();
-    const helpers = this.randomAlive(INDIRECT_PROBES, target.address);
+    const helpers = this.choice.randomAlive(INDIRECT_PROBES, target.address);
     const acknowledged = this.probes.start(timeout, sequence => {
       const ping = { sequence, target: target.gossipAddress };
       for (const helper of helpers) this.send(helper.gossipAddress, { ping });
@@ -317,7 +320,7 @@
   }
 
   private sendBroadcast(): void {
-    for (const peer of this.randomAlive(FANOUT)) this.send(peer.gossipAddress, {});
+    for (const peer of this.choice.randomAlive(FANOUT)) this.send(peer.gossipAddress, {});
   }
 
   private receive(bytes: Uint8Array): void {
@@ -406,7 +409,7 @@
       return;
     }
     const seed = seeds[Math.floor(random() * seeds.length)];
-    const peer = this.randomAlive(1)[0]?.gossipAddress;
+    const peer = this.choice.randomAlive(1)[0]?.gossipAddress;
     const target = random() < SYNC_WITH_GONE_PROBABILITY ? (seed ?? peer) : (peer ?? seed);
     if (target !== undefined) this.sendSync(target, true);
   }
@@ -445,40 +448,8 @@
     this.options.datagrams.send(to, bytes);
   }
 
-  /** The next member to probe; the order is shuffled again after each pass over all members. */
-  private nextTarget(): Member | undefined {
-    for (let pass = 0; pass < 2; pass++) {
-      for (let address = this.probeOrder.pop(); address !== undefined; address = this.probeOrder.pop()) {
-        const member = this.table.get(address);
-        if (member && isUp(member) && address !== this.self.address) return member;
-      }
-      this.probeOrder = this.shuffle([...this.table.all()].map(member => member.address));
-    }
-    return undefined;
-  }
-
-  private shuffle(list: string[]): string[] {
-    for (let i = list.length - 1; i > 0; i--) {
-      const j = Math.floor(this.options.random() * (i + 1));
-      [list[i], list[j]] = [list[j] ?? '', list[i] ?? ''];
-    }
-    return list;
-  }
-
-  /** Up to `count` other members in state ALIVE or SUSPECT, at random. */
-  randomAlive(count: number, except = ''): Member[] {
-    const candidates = [...this.table.all()].filter(
-      m => isUp(m) && m.address !== this.self.address && m.address !== except,
-    );
-    const chosen: Member[] = [];
-    while (chosen.length < count && candidates.length > 0) {
-      chosen.push(...candidates.splice(Math.floor(this.options.random() * candidates.length), 1));
-    }
-    return chosen;
-  }
-
   private isAlone(): boolean {
-    return this.options.seeds.length > 0 && this.randomAlive(1).length === 0;
+    return this.options.seeds.length > 0 && this.choice.randomAlive(1).length === 0;
   }
 
   private removeExpired(): void {
@@ -494,10 +465,6 @@
   }
 }
 
-function isUp(member: Member): boolean {
-  return member.state === 'ALIVE' || member.state === 'SUSPECT';
-}
-
 /** Proofs of this age or more are not sent, since they are too old to be of use, ms. */
 const MAX_PROOF_AGE_MS = 60_000;
 /** Optional fields of a datagram besides updates. */
