Name the bytes outside of a body overhead, and order the fields of a process's identity

Cause: a newcomer would have to guess what barren bytes are.

Result: the tests of connections and identities pass.

--- a/packages/calls/src/heldReading.ts
+++ b/packages/calls/src/heldReading.ts
@@ -1,11 +1,11 @@
-/** Controls the reader of a socket: holds it up, and ends the connection when too many bytes come that lead to nothing. */
+/** Controls the reader of a socket: holds it up, and ends the connection of a response with too many bytes outside of its body. */
 import { type Socket } from 'node:net';
 
 /**
  * Bytes that may come in a row without any of a body: head and interim responses, or chunk extensions and trailers. Several times what the
  * parser accepts as the head of one response.
  */
-const MAX_BARREN_BYTES = 65_536;
+const MAX_OVERHEAD_BYTES = 65_536;
 /** Bytes that the parser gets at once until the body begins. */
 const HEAD_READ_BYTES = 4096;
 /** The same near the limit of the parser, which reads all that it got and creates an error for each line beyond the limit. */
@@ -16,7 +16,7 @@
 export class HeldReading {
   private isHeld = false;
   private hasBody = false;
-  private barrenBytes = 0;
+  private overheadBytes = 0;
 
   constructor(private readonly socket: Socket) {
     const read = socket.read.bind(socket) as (bytes?: number) => Buffer | null;
@@ -44,17 +44,17 @@
   /** A request is sent, whose response is read next. */
   recordRequest(): void {
     this.hasBody = false;
-    this.barrenBytes = 0;
+    this.overheadBytes = 0;
   }
 
   /** The parser has found a part of the body in what it read. */
   recordBody(): void {
     this.hasBody = true;
-    this.barrenBytes = 0;
+    this.overheadBytes = 0;
   }
 
   private get headReadBytes(): number {
-    return this.barrenBytes < LONG_HEAD_BYTES ? HEAD_READ_BYTES : LONG_HEAD_READ_BYTES;
+    return this.overheadBytes < LONG_HEAD_BYTES ? HEAD_READ_BYTES : LONG_HEAD_READ_BYTES;
   }
 
   private take(read: (bytes?: number) => Buffer | null): Buffer | null {
@@ -64,9 +64,9 @@
     const chunk = this.hasBody
       ? read()
       : read(Math.min(socket.readableLength, this.headReadBytes) || undefined);
-    this.barrenBytes += chunk?.length ?? 0;
-    if (this.barrenBytes <= MAX_BARREN_BYTES) return chunk;
-    socket.destroy(new Error('Too many bytes came that belong to no body.'));
+    this.overheadBytes += chunk?.length ?? 0;
+    if (this.overheadBytes <= MAX_OVERHEAD_BYTES) return chunk;
+    socket.destroy(new Error('The response has too many bytes outside of its body.'));
     return null;
   }
 }
--- a/packages/calls/src/processIdentity.ts
+++ b/packages/calls/src/processIdentity.ts
@@ -15,15 +15,14 @@
 export class ProcessIdentity {
   /** 128 random bits in hexadecimal. From the machine's own generator, since one with a seed gives several processes the same. */
   readonly id = randomBytes(ID_BYTES).toString('hex');
+  /** The part of the id in request ids: as many base-36 digits as earlier builds accept there. */
+  readonly digits = BigInt(`0x${this.id}`).toString(REQUEST_ID_RADIX).slice(-REQUEST_ID_DIGITS);
   private readonly startedAt: number;
 
   constructor(private readonly clock: Clock) {
     this.startedAt = clock.now();
   }
 
-  /** The part of the id in request ids: as many base-36 digits as earlier builds accept there. */
-  readonly digits = BigInt(`0x${this.id}`).toString(REQUEST_ID_RADIX).slice(-REQUEST_ID_DIGITS);
-
   /** How long this process has run, ms. */
   get ageMs(): number {
     return this.clock.now() - this.startedAt;
