Count bytes as outside of a body only once the parser has had them

Cause: the reader of a response counts each read as bytes outside of its body until the parser has found a part of the body in it, and closed the connection when the count was above 64 KiB before the parser got them. While reading is held for a slow reader, the socket buffers more than that: one read then returns up to 95 KB.

Change: the count is compared before the next read, by when the parser has found what of them is a body.

The new test of the connections to an upstream scripts such a read: red with and without a length before, green after.

--- a/packages/calls/src/heldReading.ts
+++ b/packages/calls/src/heldReading.ts
@@ -61,12 +61,14 @@
     const { socket } = this;
     // What arrived on a connection that was ended is of no use to anyone.
     if (this.isHeld || socket.destroyed) return null;
+    if (this.overheadBytes > MAX_OVERHEAD_BYTES) {
+      socket.destroy(new Error('The response has too many bytes outside of its body.'));
+      return null;
+    }
     const chunk = this.hasBody
       ? read()
       : read(Math.min(socket.readableLength, this.headReadBytes) || undefined);
     this.overheadBytes += chunk?.length ?? 0;
-    if (this.overheadBytes <= MAX_OVERHEAD_BYTES) return chunk;
-    socket.destroy(new Error('The response has too many bytes outside of its body.'));
-    return null;
+    return chunk;
   }
 }
--- a/tests/upstreamConnections.spec.ts
+++ b/tests/upstreamConnections.spec.ts
@@ -8,7 +8,10 @@
 /** Each is read at once; the last one is the first beyond what an exchange buffers for a slow reader, so that nothing is left after it. */
 const PIECE = 'x'.repeat(48_000);
 const PIECES = 5;
+/** Of what arrives while reading is held, the first piece is small enough for a socket to read on, and to buffer more than 64 KiB. */
+const HELD_PIECES = [10_000, 200_000].map(bytes => 'x'.repeat(bytes));
 const PIECE_INTERVAL_MS = 20;
+const SLOW_PIECES = Array.from({ length: PIECES }, () => PIECE);
 const LONG_BYTES = PIECES * PIECE.length;
 const RESPONSES = 20;
 
@@ -104,6 +107,14 @@
         expect(lengths).to.deep.equal(Array.from({ length: RESPONSES }, () => LONG_BYTES));
       });
 
+      // Guards against a part of a body that counts as bytes outside of it, since it was buffered in one piece.
+      it(`deliver it whole to a slow reader, though much of it is read at once, ${title}`, async () => {
+        const pieces = [...SLOW_PIECES, ...HELD_PIECES];
+        const bytes = pieces.join('').length;
+        respond = socket => void sendInPieces(socket, headFor(bytes), pieces);
+        expect(await read(await send('/'), 2 * pieces.length * PIECE_INTERVAL_MS)).to.equal(bytes);
+      });
+
       // The same when the connection is reset meanwhile.
       it(`report that it is truncated after a reset, ${title}`, async () => {
         respond = socket => {
@@ -122,10 +133,10 @@
   });
 });
 
-async function sendInPieces(socket: Socket, head: string): Promise<void> {
+async function sendInPieces(socket: Socket, head: string, pieces = SLOW_PIECES): Promise<void> {
   socket.write(head);
-  for (let i = 0; i < PIECES; i++) {
-    socket.write(PIECE);
+  for (const piece of pieces) {
+    socket.write(piece);
     await sleep(PIECE_INTERVAL_MS);
   }
   socket.end();
