Let other requests through while long responses stream

Cause: a sender without end always has bytes to read, so that each iteration of the event loop passed on megabytes of streams; other requests waited behind them in the loop and on the link between two daemons, and what was read and not yet collected took memory. Reproduced on beside 20 busy processes: the slowest ordinary request took 370 to 1189 ms beside chunks (6 cases), 19 of 100 were refused in one of them; daemons of up to 149 MB. The caller in the same test lagged by 23 to 83 ms, so that it isn't the cause.

Change: `StreamPacer`, one for each daemon. Pieces of streams, read from the upstream or from a link, are taken in slices of 256 KiB an iteration, each followed by a pause as long as the iteration took, 20 ms at most; streams are served in turn. A response in up to 32 pieces below 64 KiB is not paced.

--- a/packages/calls/src/index.ts
+++ b/packages/calls/src/index.ts
@@ -89,6 +89,7 @@
 export { ChainOutlooks, type WasteCause } from './chainOutlooks.js';
 export { CallResends } from './callResends.js';
 export { callsAtRisk, retryOrder } from './retryValue.js';
+export { StreamPacer } from './streamPacer.js';
 export { RequestScheduler } from './requestScheduler.js';
 export {
   INGRESS_UPLOAD_BYTES,
--- a/packages/calls/src/peers.ts
+++ b/packages/calls/src/peers.ts
@@ -14,6 +14,7 @@
 import { type CallResponse, type CallBody } from './callHandler.js';
 import { LIVENESS_CHECK_INTERVAL_MS, LinkClient } from './linkClient.js';
 import { ConnectionLoss } from './connectionLoss.js';
+import { type StreamPacer } from './streamPacer.js';
 
 const GRPC_OPTIONS = {
   // Callers retry gRPC requests themselves where that is safe.
@@ -52,6 +53,7 @@
     private readonly clock: Clock,
     /** Whether fault injection drops the traffic to a peer; a hook for tests. */
     private readonly isPartitioned: (address: string) => boolean,
+    private readonly pacer: StreamPacer,
     /** Called with the address of a peer when the link to it has ended. */
     private readonly onLinkLost: (address: string) => void = () => undefined,
   ) {}
@@ -69,7 +71,8 @@
     const response = await link.exchange(head, body, signal);
     if (this.isPartitioned(address))
       throw new ConnectionLoss(`${address} was partitioned during the call.`, false, link.process);
-    return response;
+    const { first, rest } = response;
+    return rest ? { first, rest: this.pacer.pace(rest, part => part.body.length) } : response;
   }
 
   /** Whether a peer can be expected to respond. */
--- a/packages/calls/src/upstreamConnections.ts
+++ b/packages/calls/src/upstreamConnections.ts
@@ -5,6 +5,7 @@
 import { withEnd } from './requestProgress.js';
 import { type FailedConnection } from './upstreamConnection.js';
 import { UpstreamConnectionPool } from './upstreamConnectionPool.js';
+import { type StreamPacer } from './streamPacer.js';
 import { UpstreamExchange, type UpstreamRequest, type UpstreamResponse } from './upstreamExchange.js';
 
 /**
@@ -24,6 +25,7 @@
     private readonly clock: Clock,
     address: string,
     maxConnections: number,
+    private readonly pacer: StreamPacer,
   ) {
     const onFailure = (error: Error, failed: FailedConnection) =>
       void this.failedConnections.set(error, failed);
@@ -39,7 +41,7 @@
         this.hasDelimitedResponses ||= !response.isCloseDelimited;
         resolve(response);
       };
-      const exchange = new UpstreamExchange(request, signal, { resolve: settle, reject });
+      const exchange = new UpstreamExchange(request, signal, this.pacer, { resolve: settle, reject });
       const { id, method, path, headers, body } = request;
       const options: Dispatcher.DispatchOptions = {
         method: method as Dispatcher.HttpMethod,
--- a/packages/calls/src/upstreamExchange.ts
+++ b/packages/calls/src/upstreamExchange.ts
@@ -6,10 +6,13 @@
 import { type CallBody } from './callHandler.js';
 import { AsyncQueue } from './flowControl.js';
 import { type RequestProgress, UnqueuedRequest } from './requestProgress.js';
+import { PIECE_OVERHEAD_BYTES, type StreamPacer } from './streamPacer.js';
 import { type ConnectionUse, NO_CONNECTION, type UpstreamConnection } from './upstreamConnection.js';
 
 /** Response bytes buffered for a slow reader before reading from the upstream pauses. */
 const MAX_BUFFERED_BYTES = 128 * 1024;
+/** Pieces after which a response below 64 KiB is paced as a stream: in chunks of a byte, it costs more than a long one. */
+const MAX_UNPACED_PIECES = 32;
 const BODYLESS_STATUSES = [204, 304];
 
 /** A request to an upstream. */
@@ -55,8 +58,12 @@
   private headers: IncomingHttpHeaders = {};
   private startChunks: Buffer[] = [];
   private startBytes = 0;
+  private pieces = 0;
   private restQueue: AsyncQueue<Buffer | 'end'> | undefined;
   private bufferedBytes = 0;
+  /** Cost of the pieces that were read while this exchange waits for the pacer. */
+  private unpacedCost = 0;
+  private isWaitingForPacer = false;
   private isFailed = false;
   private isEnded = false;
   private controller: Dispatcher.DispatchController | undefined;
@@ -68,6 +75,7 @@
   constructor(
     private readonly request: UpstreamRequest,
     private readonly signal: CancelSignal,
+    private readonly pacer: StreamPacer,
     private readonly settle: { resolve: (value: UpstreamResponse) => void; reject: (error: unknown) => void },
   ) {
     signal.addEventListener('abort', this.onAbort, { once: true });
@@ -109,15 +117,38 @@
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
     this.connection?.recordBody();
-    if (!this.restQueue) {
-      this.startChunks.push(chunk);
-      this.startBytes += chunk.length;
-      if (this.startBytes >= PART_BYTES) this.startStreaming();
+    const cost = chunk.length + PIECE_OVERHEAD_BYTES;
+    if (++this.pieces > MAX_UNPACED_PIECES || this.restQueue) this.pace(cost);
+    if (this.restQueue) {
+      this.restQueue.push(chunk);
+      this.bufferedBytes += cost;
+      this.holdOrReleaseReading();
       return;
     }
-    this.restQueue.push(chunk);
-    this.bufferedBytes += chunk.length;
-    if (this.bufferedBytes > MAX_BUFFERED_BYTES) this.connection?.holdReading();
+    this.startChunks.push(chunk);
+    this.startBytes += chunk.length;
+    if (this.startBytes >= PART_BYTES) this.startStreaming();
+  }
+
+  private pace(cost: number): void {
+    this.unpacedCost += cost;
+    if (this.isWaitingForPacer) return;
+    const wait = this.pacer.acquire(this.unpacedCost);
+    this.unpacedCost = 0;
+    if (!wait) return;
+    this.isWaitingForPacer = true;
+    this.holdOrReleaseReading();
+    void wait.then(() => {
+      this.isWaitingForPacer = false;
+      if (this.unpacedCost > 0) this.pace(0);
+      this.holdOrReleaseReading();
+    });
+  }
+
+  private holdOrReleaseReading(): void {
+    if (this.isEnded) return;
+    if (this.isWaitingForPacer || this.bufferedBytes > MAX_BUFFERED_BYTES) this.connection?.holdReading();
+    else if (this.bufferedBytes <= MAX_BUFFERED_BYTES / 2) this.connection?.releaseReading();
   }
 
   /**
@@ -185,8 +216,8 @@
     for (;;) {
       const chunk = await rest.next();
       if (chunk === 'end') return;
-      this.bufferedBytes -= chunk.length;
-      if (this.bufferedBytes <= MAX_BUFFERED_BYTES / 2 && !this.isEnded) this.connection?.releaseReading();
+      this.bufferedBytes -= chunk.length + PIECE_OVERHEAD_BYTES;
+      this.holdOrReleaseReading();
       yield chunk;
     }
   }
--- a/packages/daemon/src/daemonCore.ts
+++ b/packages/daemon/src/daemonCore.ts
@@ -20,6 +20,7 @@
   type UpstreamCrash,
   CrashDetector,
   UpstreamDispatcher,
+  StreamPacer,
   type RequestScheduler,
   type UploadBudget,
   withUploadIntake,
@@ -183,10 +184,12 @@
         this.onMemberChange(member);
       },
     });
+    const pacer = new StreamPacer(clock);
     this.upstreams = new Upstreams({
       ...options.upstreams,
       clock,
       random,
+      pacer,
       onChange: list => this.announceUpstreams(list),
       fetchNotice: (service, address) => this.queryNotice(service, address),
       loadChecks: {
@@ -199,7 +202,7 @@
     this.decisionTrace = new DecisionTrace(clock, requests.write);
     this.chains = new CallChains(clock, random, this.decisionTrace);
     this.attempts = new AttemptRegistry(clock, options.attemptRetentionMs);
-    this.peers = new Peers(clock, isPartitioned, address => this.forwarder.notices.linkEnded(address));
+    this.peers = new Peers(clock, isPartitioned, pacer, address => this.forwarder.notices.linkEnded(address));
     this.router = new Router({
       clock,
       random,
--- a/packages/daemon/src/upstreams.ts
+++ b/packages/daemon/src/upstreams.ts
@@ -201,7 +201,7 @@
   }
 
   private add(announcement: Announcement): void {
-    const { clock, random, protection, slowStart, classes, bounds } = this.options;
+    const { clock, random, protection, slowStart, classes, bounds, pacer } = this.options;
     const { service, address, instanceId } = announcement;
     const start = startIdOf(announcement, clock.date());
     const load = new LatestUpstreamLoad(clock, ({ running, waiting }) =>
@@ -225,7 +225,7 @@
       admission,
       costs: new RouteCosts(),
       load,
-      connections: new UpstreamConnections(clock, address, allowed),
+      connections: new UpstreamConnections(clock, address, allowed, pacer),
       loadMonitor,
       instanceId,
       start,
--- a/packages/daemon/src/upstreamsOptions.ts
+++ b/packages/daemon/src/upstreamsOptions.ts
@@ -1,5 +1,5 @@
 /** Dependencies and limits of the registry of upstreams. */
-import { type ResponseNotice, type UpstreamLoad } from '@cleatquay/calls';
+import { type ResponseNotice, type StreamPacer, type UpstreamLoad } from '@cleatquay/calls';
 import { type Clock, type Random } from '@cleatquay/clock';
 import { type Upstream } from '@cleatquay/protocol';
 
@@ -7,6 +7,8 @@
 export interface UpstreamsOptions {
   readonly clock: Clock;
   readonly random: Random;
+  /** Paces the bodies of responses; shared with all other streams of the process. */
+  readonly pacer: StreamPacer;
   /** False in passthrough mode, in which every request is forwarded at once. */
   readonly protection: boolean;
   /** How often upstreams announce themselves, ms. */
--- a/tests/rateLimit.spec.ts
+++ b/tests/rateLimit.spec.ts
@@ -1,5 +1,5 @@
 import { Admission, RateLimit } from '@cleatquay/admission';
-import { type ResponseNotice, EMPTY_NOTICE } from '@cleatquay/calls';
+import { type ResponseNotice, EMPTY_NOTICE, StreamPacer } from '@cleatquay/calls';
 import { ManualClock, SystemClock } from '@cleatquay/clock';
 import { Upstreams } from '@cleatquay/daemon';
 import { expect } from 'chai';
@@ -163,6 +163,7 @@
       healthNotice = noticeWith('none');
       upstreams = new Upstreams({
         clock,
+        pacer: new StreamPacer(clock),
         random: () => 0.5,
         protection: true,
         heartbeatMs: HEARTBEAT_MS,
--- a/tests/upstreamConnections.spec.ts
+++ b/tests/upstreamConnections.spec.ts
@@ -1,4 +1,4 @@
-import { UpstreamConnections, isConnectFailure, type UpstreamResponse } from '@cleatquay/calls';
+import { StreamPacer, UpstreamConnections, isConnectFailure, type UpstreamResponse } from '@cleatquay/calls';
 import { NEVER_CANCELLED, SystemClock } from '@cleatquay/clock';
 import { expect } from 'chai';
 import { type AddressInfo, type Server, type Socket, createServer } from 'node:net';
@@ -28,7 +28,8 @@
     });
     await new Promise<void>(resolve => upstream.listen(0, '127.0.0.1', resolve));
     const address = `127.0.0.1:${String((upstream.address() as AddressInfo).port)}`;
-    connections = new UpstreamConnections(new SystemClock(), address, RESPONSES);
+    const clock = new SystemClock();
+    connections = new UpstreamConnections(clock, address, RESPONSES, new StreamPacer(clock));
   });
 
   afterEach(async () => {
--- a/tests/upstreams.spec.ts
+++ b/tests/upstreams.spec.ts
@@ -1,4 +1,4 @@
-import { type ResponseNotice } from '@cleatquay/calls';
+import { type ResponseNotice, StreamPacer } from '@cleatquay/calls';
 import { ManualClock } from '@cleatquay/clock';
 import { type Announcement, Upstreams } from '@cleatquay/daemon';
 import { expect } from 'chai';
@@ -17,6 +17,7 @@
     departures = 0;
     upstreams = new Upstreams({
       clock,
+      pacer: new StreamPacer(clock),
       random: () => 0.5,
       protection: true,
       heartbeatMs: HEARTBEAT_MS,
