End a response in chunks of a byte at the timeout of its route, and read it slowly

Cause: one read of the socket gave the parser 10,000 chunks; each costs as much as one of 64 KiB and counted as a byte. A response below 64 KiB collected them for 10 s more than the timeout, each with a reference to the read that it came with.

A streamed one to a request that runs once is cancelled as soon as its sender is gone, not at its next part.

--- a/packages/calls/src/heldReading.ts
+++ b/packages/calls/src/heldReading.ts
@@ -8,6 +8,8 @@
 const MAX_OVERHEAD_BYTES = 65_536;
 /** Bytes that the parser gets at once until the body begins. */
 const HEAD_READ_BYTES = 4096;
+/** More parts of a body than this in one read are small: the parser then gets as little at once as of a head. */
+const MAX_PARTS_PER_READ = 64;
 /** The same near the limit of the parser, which reads all that it got and creates an error for each line beyond the limit. */
 const LONG_HEAD_READ_BYTES = 512;
 const LONG_HEAD_BYTES = 12_288;
@@ -17,6 +19,7 @@
   private isHeld = false;
   private hasBody = false;
   private overheadBytes = 0;
+  private partsOfRead = 0;
 
   constructor(private readonly socket: Socket) {
     const read = socket.read.bind(socket) as (bytes?: number) => Buffer | null;
@@ -51,6 +54,7 @@
   recordBody(): void {
     this.hasBody = true;
     this.overheadBytes = 0;
+    this.partsOfRead++;
   }
 
   private get headReadBytes(): number {
@@ -65,9 +69,9 @@
       socket.destroy(new Error('The response has too many bytes outside of its body.'));
       return null;
     }
-    const chunk = this.hasBody
-      ? read()
-      : read(Math.min(socket.readableLength, this.headReadBytes) || undefined);
+    const isLarge = this.hasBody && this.partsOfRead <= MAX_PARTS_PER_READ;
+    this.partsOfRead = 0;
+    const chunk = isLarge ? read() : read(Math.min(socket.readableLength, this.headReadBytes) || undefined);
     this.overheadBytes += chunk?.length ?? 0;
     return chunk;
   }
--- a/packages/calls/src/responses.ts
+++ b/packages/calls/src/responses.ts
@@ -1,6 +1,7 @@
 /** Splits responses into parts, verifies them by length and checksum, and records and replays complete ones. */
 import { type AnswerHead, type AnswerPart, type Load, emptyLoad } from '@cleatquay/protocol';
 import { crc32 } from 'node:zlib';
+import { BodyPieces } from './bodyPieces.js';
 import { type CallResponse, singlePartResponse } from './callHandler.js';
 
 /**
@@ -74,18 +75,13 @@
   body: AsyncIterable<Buffer>,
   finish: () => { load: Load; unusedRetryTokens: number },
 ): AsyncGenerator<AnswerPart> {
-  let pending: Buffer[] = [];
-  let pendingBytes = 0;
+  const pending = new BodyPieces();
   for await (const chunk of body) {
     checksum.add(chunk);
-    pending.push(chunk);
-    pendingBytes += chunk.length;
-    if (pendingBytes < PART_BYTES) continue;
-    yield createPart({ body: Buffer.concat(pending) });
-    pending = [];
-    pendingBytes = 0;
+    pending.add(chunk);
+    if (pending.bytes >= PART_BYTES) yield createPart({ body: pending.take() });
   }
-  yield createPart({ body: Buffer.concat(pending), end: checksum.end, ...finish() });
+  yield createPart({ body: pending.take(), end: checksum.end, ...finish() });
 }
 
 /** Ends a response that nobody reads: its parts hold resources until they have been begun and left. */
--- a/packages/calls/src/runCancellation.ts
+++ b/packages/calls/src/runCancellation.ts
@@ -9,18 +9,23 @@
 } from '@cleatquay/clock';
 import { type RunningCall } from './runningCalls.js';
 
-/** A signal that aborts when the sender's does or at the time limit; its reason states which. */
-export function cancellationOf(clock: Clock, timeLimitMs: number, outer: CancelSignal) {
+/** A signal that aborts at the time limit, or when the signal of a sender does that it follows; its reason states which. */
+export function cancellationOf(clock: Clock, timeLimitMs: number) {
   const controller = new Cancellation();
   const abortOnDisconnect = () => controller.abort(CALLER_DISCONNECTED);
-  if (outer.aborted) abortOnDisconnect();
-  outer.addEventListener('abort', abortOnDisconnect, { once: true });
+  const followed: CancelSignal[] = [];
+  const follow = (sender: CancelSignal) => {
+    if (sender.aborted) abortOnDisconnect();
+    sender.addEventListener('abort', abortOnDisconnect, { once: true });
+    followed.push(sender);
+  };
   const timer = clock.after(timeLimitMs, () => controller.abort(DEADLINE_PASSED));
   return {
     signal: controller.signal,
+    follow,
     [Symbol.dispose]: () => {
       timer[Symbol.dispose]();
-      outer.removeEventListener('abort', abortOnDisconnect);
+      for (const sender of followed) sender.removeEventListener('abort', abortOnDisconnect);
       controller.abort(NO_LONGER_NEEDED);
     },
   };
--- a/packages/calls/src/upstreamDispatcher.ts
+++ b/packages/calls/src/upstreamDispatcher.ts
@@ -1,6 +1,6 @@
 /** Admits calls, dispatches them to the local upstream, and records which ones were dispatched. */
 import { type Permit, progressLevel, requestLevel } from '@cleatquay/admission';
-import { type CancelSignal, type Clock, NEVER_CANCELLED } from '@cleatquay/clock';
+import { type CancelSignal, type Clock } from '@cleatquay/clock';
 import { resultByCode } from '@cleatquay/errors';
 import {
   ANY_EPOCH,
@@ -233,11 +233,9 @@
       inFlight: upstream.admission.load().inFlight,
     });
     const timeLimitMs = context.remainingMs + (route.idempotent ? 0 : NON_IDEMPOTENT_GRACE_MS);
-    const cancellation = cancellationOf(
-      clock,
-      timeLimitMs,
-      route.idempotent ? signal : NON_IDEMPOTENT_SIGNAL,
-    );
+    const cancellation = cancellationOf(clock, timeLimitMs);
+    // A non-idempotent request that was started continues even if the caller disconnects, until its response is known.
+    if (route.idempotent) cancellation.follow(signal);
     const { head, body } = admitted;
     const deadlineAt = clock.now() + context.remainingMs;
     const request = { head, body, start: upstream.start };
@@ -264,6 +262,8 @@
       });
       decisionTrace.requestEnded(context.requestId, false);
       if (!response.rest) finish();
+      // It has run, and what is streamed is not stored for anyone.
+      else if (!route.idempotent) cancellation.follow(signal);
       return response.rest
         ? { ...response, rest: this.finishingParts(admitted, call, response.rest, finish) }
         : response;
@@ -394,6 +394,3 @@
   const notice = upstream?.notice;
   return notice ? { ...response, first: { ...response.first, notice } } : response;
 }
-
-/** Never aborts: a non-idempotent request that was started continues even if the caller disconnects. */
-const NON_IDEMPOTENT_SIGNAL = NEVER_CANCELLED;
--- a/packages/calls/src/upstreamExchange.ts
+++ b/packages/calls/src/upstreamExchange.ts
@@ -6,6 +6,7 @@
 import { type CallBody } from './callHandler.js';
 import { AsyncQueue } from './flowControl.js';
 import { type RequestProgress, UnqueuedRequest } from './requestProgress.js';
+import { BodyPieces } from './bodyPieces.js';
 import { PIECE_OVERHEAD_BYTES, type StreamPacer } from './streamPacer.js';
 import { type ConnectionUse, NO_CONNECTION, type UpstreamConnection } from './upstreamConnection.js';
 
@@ -13,6 +14,8 @@
 const MAX_BUFFERED_BYTES = 128 * 1024;
 /** Pieces after which a response below 64 KiB is paced as a stream: in chunks of a byte, it costs more than a long one. */
 const MAX_UNPACED_PIECES = 32;
+/** A shorter response in more pieces is streamed, so that it ends at the timeout of its route. */
+const MAX_START_PIECES = 1024;
 const BODYLESS_STATUSES = [204, 304];
 
 /** A request to an upstream. */
@@ -56,8 +59,7 @@
 export class UpstreamExchange implements Dispatcher.DispatchHandler {
   private status = 0;
   private headers: IncomingHttpHeaders = {};
-  private startChunks: Buffer[] = [];
-  private startBytes = 0;
+  private readonly startPieces = new BodyPieces();
   private pieces = 0;
   private restQueue: AsyncQueue<Buffer | 'end'> | undefined;
   private bufferedBytes = 0;
@@ -125,9 +127,8 @@
       this.holdOrReleaseReading();
       return;
     }
-    this.startChunks.push(chunk);
-    this.startBytes += chunk.length;
-    if (this.startBytes >= PART_BYTES) this.startStreaming();
+    this.startPieces.add(chunk);
+    if (this.startPieces.bytes >= PART_BYTES || this.pieces >= MAX_START_PIECES) this.startStreaming();
   }
 
   private pace(cost: number): void {
@@ -197,15 +198,10 @@
   }
 
   private createResponse(rest?: AsyncIterable<Buffer>): UpstreamResponse {
-    const start =
-      this.startChunks.length === 1 && this.startChunks[0]
-        ? this.startChunks[0]
-        : Buffer.concat(this.startChunks);
-    this.startChunks = [];
     return {
       status: this.status,
       headers: this.headers,
-      start,
+      start: this.startPieces.take(),
       rest,
       connection: this.use,
       isCloseDelimited: this.isDelimitedByClose,
--- a/tests/endlessResponses.spec.ts
+++ b/tests/endlessResponses.spec.ts
@@ -27,6 +27,7 @@
   'bytes that are no HTTP': { beginning: '', repeated: 'x' },
   'a chunk extension': { beginning: `${CHUNKED}5;a=`, repeated: 'x' },
   chunks: { beginning: CHUNKED, repeated: `1000\r\n${'x'.repeat(4096)}\r\n` },
+  'chunks of a byte': { beginning: CHUNKED, repeated: '1\r\nx\r\n' },
   trailers: { beginning: `${CHUNKED}0\r\n`, repeated: 'X-A: 1\r\n' },
   'a body without a length': { beginning: `${HEAD}\r\n`, repeated: 'x' },
   'what follows a whole response': { beginning: `${HEAD}Content-Length: 2\r\n\r\nok`, repeated: 'x' },
