Collect the buffers of streams once they have grown by 16 MB

Cause: V8 collects buffers only when they have grown by 64 MB; responses without a length, read in 64 KiB, fill that in a tenth of a second. A daemon of 85 MB so reached 140 to 149 MB, where 128 are allowed ("a body without a length" of `endlessResponses.spec.ts` and the cases after it: 3 of 20 in each of two runs alone, and on in 1 of 2 beside 8 busy processes).

Change: what uploads have had, `BufferCollector`, is called for each slice of the streams, too.

--- a/packages/calls/src/streamPacer.ts
+++ b/packages/calls/src/streamPacer.ts
@@ -26,7 +26,11 @@
   private openedAt = 0;
   private budget = 0;
 
-  constructor(private readonly clock: Clock) {}
+  constructor(
+    private readonly clock: Clock,
+    /** Called at the end of each slice. */
+    private readonly onSlice: () => void = () => undefined,
+  ) {}
 
   /** The pieces of a stream, each as soon as it may be taken, in the order in which all streams ask. */
   async *pace<T>(pieces: AsyncIterable<T>, bytesOf: (piece: T) => number): AsyncGenerator<T> {
@@ -54,6 +58,7 @@
   }
 
   private pause(): void {
+    this.onSlice();
     const pauseMs = Math.min(this.clock.now() - this.openedAt, MAX_PAUSE_MS);
     if (pauseMs > 0) this.clock.after(pauseMs, () => this.resume());
     else this.resume();
--- a/packages/daemon/src/daemonCore.ts
+++ b/packages/daemon/src/daemonCore.ts
@@ -44,6 +44,7 @@
 import { type Candidate, UpstreamDirectory, Router } from '@cleatquay/routing';
 import { type Logger } from 'pino';
 import { DecisionLog } from './decisionLog.js';
+import { BufferCollector } from './bufferCollector.js';
 import { createUploadBudget } from './uploadMemory.js';
 import { checkHealth } from './upstreamHealth.js';
 import { Upstreams } from './upstreams.js';
@@ -184,7 +185,8 @@
         this.onMemberChange(member);
       },
     });
-    const pacer = new StreamPacer(clock);
+    const collector = new BufferCollector();
+    const pacer = new StreamPacer(clock, collector.check);
     this.upstreams = new Upstreams({
       ...options.upstreams,
       clock,
@@ -231,7 +233,7 @@
       decisionTrace: this.decisionTrace,
       chains: this.chains,
     });
-    this.uploadBudget = createUploadBudget(clock, log);
+    this.uploadBudget = createUploadBudget(clock, log, collector);
     this.dispatch = withUploadIntake(
       (head, body, signal) => this.upstreamDispatcher.handle(head, body, signal),
       { budget: this.uploadBudget, random, decisionTrace: this.decisionTrace },
--- a/packages/daemon/src/uploadMemory.ts
+++ b/packages/daemon/src/uploadMemory.ts
@@ -2,18 +2,20 @@
 import { UPLOAD_BUDGET_BYTES, UploadBudget } from '@cleatquay/calls';
 import { type Clock } from '@cleatquay/clock';
 import { Failure } from '@cleatquay/errors';
-import { getHeapStatistics } from 'node:v8';
 import { type Logger } from 'pino';
+import { type BufferCollector } from './bufferCollector.js';
 import { type Metrics } from './metrics.js';
 
 /** Interval of log lines; the number of refusals in between is counted. */
 const LOG_INTERVAL_MS = 1000;
 
-/** Growth of the memory of buffers after which they are collected. */
-const MAX_GARBAGE_BYTES = 16 * 1_048_576;
-
 /** Creates the budget of a daemon, which logs refusals at most once a second. */
-export function createUploadBudget(clock: Clock, log: Logger, maxBytes = UPLOAD_BUDGET_BYTES): UploadBudget {
+export function createUploadBudget(
+  clock: Clock,
+  log: Logger,
+  collector: BufferCollector,
+  maxBytes = UPLOAD_BUDGET_BYTES,
+): UploadBudget {
   let loggedAt = Number.NEGATIVE_INFINITY;
   let refused = 0;
   const onRefusal = (facts: { uploads: number; bytes: number }) => {
@@ -24,25 +26,7 @@
     loggedAt = clock.now();
     refused = 0;
   };
-  return new UploadBudget(maxBytes, onRefusal, new BufferCollector().check);
-}
-
-/**
- * Frees buffers that are no longer referenced once they have grown by some 16 MB. V8 itself begins to collect only when they have grown by
- * 64 MB, which is too much beside the memory of a daemon. A minor collection is not enough: the buffers of slow uploads have been promoted.
- * Does nothing without `--expose-gc`, with which daemons are deployed.
- */
-class BufferCollector {
-  private bytesAfterCollection = Number.POSITIVE_INFINITY;
-
-  readonly check = (): void => {
-    const { external_memory: bytes } = getHeapStatistics();
-    this.bytesAfterCollection = Math.min(this.bytesAfterCollection, bytes);
-    if (!globalThis.gc || bytes - this.bytesAfterCollection < MAX_GARBAGE_BYTES) return;
-    // Without arguments, Node.js 20 makes a full collection; any argument that it does not know means a minor one.
-    void globalThis.gc();
-    this.bytesAfterCollection = getHeapStatistics().external_memory;
-  };
+  return new UploadBudget(maxBytes, onRefusal, collector.check);
 }
 
 /** Adds the gauges of a daemon. */
