--- a/packages/daemon/src/bufferCollector.ts
+++ b/packages/daemon/src/bufferCollector.ts
@@ -11,17 +11,27 @@
 export class BufferCollector {
   private bytesAfterCollection = Number.POSITIVE_INFINITY;
 
-  /** To be called each time that some more of a body has been received. */
-  readonly check = (): void => {
-    if (!globalThis.gc || !this.hasGarbage) return;
-    // Takes less than a millisecond, and frees the buffers of most streams; those of slow uploads have been promoted.
-    void globalThis.gc({ type: 'minor' });
+  /** To be called each time that some more of an upload has been received: the buffers of slow ones are no longer young. */
+  readonly checkUploads = (): void => {
+    if (this.hasGarbage) this.collectAll();
+  };
+
+  /** To be called each time that some more of streams has been passed on: most of their buffers are young, and cost little to collect. */
+  readonly checkStreams = (): void => {
+    if (!this.hasGarbage) return;
+    void globalThis.gc?.({ type: 'minor' });
+    // What has been promoted still counts as growth, so that it can't add up.
+    if (this.hasGarbage) this.collectAll();
+  };
+
+  private collectAll(): void {
     // Without arguments, Node.js 20 makes a full collection.
-    if (this.hasGarbage) void globalThis.gc();
+    void globalThis.gc?.();
     this.bytesAfterCollection = getHeapStatistics().external_memory;
-  };
+  }
 
   private get hasGarbage(): boolean {
+    if (!globalThis.gc) return false;
     const { external_memory: bytes } = getHeapStatistics();
     this.bytesAfterCollection = Math.min(this.bytesAfterCollection, bytes);
     return bytes - this.bytesAfterCollection >= MAX_GARBAGE_BYTES;
--- a/packages/daemon/src/daemonCore.ts
+++ b/packages/daemon/src/daemonCore.ts
@@ -186,7 +186,7 @@
       },
     });
     const collector = new BufferCollector();
-    const pacer = new StreamPacer(clock, collector.check);
+    const pacer = new StreamPacer(clock, collector.checkStreams);
     this.upstreams = new Upstreams({
       ...options.upstreams,
       clock,
--- a/packages/daemon/src/uploadMemory.ts
+++ b/packages/daemon/src/uploadMemory.ts
@@ -26,7 +26,7 @@
     loggedAt = clock.now();
     refused = 0;
   };
-  return new UploadBudget(maxBytes, onRefusal, collector.check);
+  return new UploadBudget(maxBytes, onRefusal, collector.checkUploads);
 }
 
 /** Adds the gauges of a daemon. */
