Keep in a daemon's row which services delimit their responses

Cause: whether such a response may be a part is judged by the other responses of the service, and a process had only its own. Change: the row of a daemon in the store lists the services of which it has received a response with a length or chunks. It is written at the first one; the next process of the daemon restores it, and every daemon adds what the other rows say with each read of the table. Why it works: a daemon reads its row before it says that it is ready. Open: the first response of a service in a fleet, and a start without the store.

--- a/packages/calls/src/delimiterHistory.ts
+++ b/packages/calls/src/delimiterHistory.ts
@@ -22,13 +22,34 @@
 
 /** How the responses of a service were delimited. It outlasts the process of an upstream, since the next one is usually alike. */
 export class DelimiterHistory {
-  /** Services of which some response that was no error had a length or chunks. */
-  private readonly delimitingServices = new Set<string>();
+  /** Services of which some response that was no error had a length or chunks, at an earlier process of this daemon, too. */
+  private readonly observed = new Set<string>();
+  /** The same at other daemons. */
+  private readonly reported = new Set<string>();
   /** Close-delimited responses since the last other one, by service and route. */
   private readonly consecutive = new Map<string, number>();
   /** The start of the process that last sent another one, by service and route. */
   private readonly delimitingStarts = new Map<string, string>();
 
+  /** `onObserved` is called at the first such response of a service to this daemon. */
+  constructor(private readonly onObserved: (service: string) => void = () => undefined) {}
+
+  /** Services of which this daemon has received a response with a length or chunks. */
+  get delimitingServices(): readonly string[] {
+    return [...this.observed];
+  }
+
+  /** Adds what an earlier process of this daemon has recorded. */
+  restore(services: readonly string[]): void {
+    for (const service of services) this.observed.add(service);
+  }
+
+  /** Replaces what other daemons have reported. */
+  setReported(services: Iterable<string>): void {
+    this.reported.clear();
+    for (const service of services) this.reported.add(service);
+  }
+
   /**
    * Records a response of a process, and returns whether it may be a part of one. Other code of an upstream often makes its errors: they count apart, and
    * show nothing about other responses.
@@ -43,7 +64,7 @@
     const isError = status >= MIN_ERROR_STATUS;
     const key = `${service} ${route} ${isError ? 'errors' : 'responses'}`;
     if (delimiter !== 'close') {
-      if (!isError) this.delimitingServices.add(service);
+      if (!isError) this.observe(service);
       this.consecutive.delete(key);
       record(this.delimitingStarts, key, start);
       return false;
@@ -51,7 +72,14 @@
     const before = this.consecutive.get(key) ?? 0;
     record(this.consecutive, key, before + 1);
     const isTrusted = before >= CONSECUTIVE_TO_TRUST && this.delimitingStarts.get(key) !== start;
-    return this.delimitingServices.has(service) && !isTrusted;
+    const isDelimiting = this.observed.has(service) || this.reported.has(service);
+    return isDelimiting && !isTrusted;
+  }
+
+  private observe(service: string): void {
+    if (this.observed.has(service)) return;
+    this.observed.add(service);
+    this.onObserved(service);
   }
 }
 
--- a/packages/calls/src/upstreamDispatcher.ts
+++ b/packages/calls/src/upstreamDispatcher.ts
@@ -36,6 +36,7 @@
 import { type CrashDetector, receivedFingerprint } from './crashDetector.js';
 import { type ProcessIdentity, UNKNOWN_PROCESS } from './processIdentity.js';
 import { type UpstreamDialect } from './upstreamDialect.js';
+import { type DelimiterHistory } from './delimiterHistory.js';
 import { UpstreamResponses } from './upstreamResponses.js';
 
 /** How long a non-idempotent request may continue after its deadline, so that its outcome can be determined. */
@@ -67,6 +68,8 @@
   /** The admission level at and above which calls of a route are refused by downstream services. */
   readonly downstreamLevel: (route: CallRoute) => number;
   readonly attempts: AttemptRegistry;
+  /** How the responses of the local upstreams were delimited. */
+  readonly delimiters: DelimiterHistory;
   readonly running: RunningCalls;
   readonly crashDetector: CrashDetector;
   readonly quarantine: Quarantine;
--- a/packages/calls/src/upstreamResponses.ts
+++ b/packages/calls/src/upstreamResponses.ts
@@ -4,7 +4,7 @@
 import { type AttemptRegistry } from './attemptRegistry.js';
 import { type CallResponse, singlePartResponse } from './callHandler.js';
 import { refusesConnections } from './crashDetector.js';
-import { DelimiterHistory } from './delimiterHistory.js';
+import { type DelimiterHistory } from './delimiterHistory.js';
 import { forwardedHeaders } from './headers.js';
 import { type LocalUpstream } from './localUpstream.js';
 import { toCallResponse } from './responses.js';
@@ -19,6 +19,7 @@
   readonly clock: Clock;
   readonly dialect: UpstreamDialect;
   readonly attempts: AttemptRegistry;
+  readonly delimiters: DelimiterHistory;
   /** The load that is reported to the sender of a call. */
   readonly loadOf: (call: AdmittedCall) => Load;
 }
@@ -30,8 +31,6 @@
 
 /** Turns the responses of upstreams into those of calls. */
 export class UpstreamResponses {
-  private readonly delimiters = new DelimiterHistory();
-
   constructor(private readonly options: UpstreamResponsesOptions) {}
 
   /** The response of a call, or its refusal if the upstream did not run it or its response may be truncated. */
@@ -49,7 +48,7 @@
       return refuse(createRefusal('shedByUpstream', 'The upstream did not run the request.', SHED_DETAILS));
     }
     const process = { service: head.service, start: upstream.start };
-    if (this.delimiters.isSuspect(process, route.name, status, delimiter)) {
+    if (this.options.delimiters.isSuspect(process, route.name, status, delimiter)) {
       permit.release('failed');
       if (!route.idempotent) attempts.markEnded(context.requestId, undefined);
       return refuse(createRefusal('answerIncomplete', MAYBE_TRUNCATED, { elsewhereHelps: true }));
--- a/packages/daemon/src/daemonCore.ts
+++ b/packages/daemon/src/daemonCore.ts
@@ -19,6 +19,7 @@
   type UpstreamDialect,
   type UpstreamCrash,
   CrashDetector,
+  DelimiterHistory,
   UpstreamDispatcher,
   StreamPacer,
   type RequestScheduler,
@@ -110,6 +111,8 @@
   /** When the configuration was last known to be the newest; absent if nothing depends on it. */
   readonly freshness?: Freshness;
   readonly quotas?: QuotaHandlers;
+  /** Called at the first response of a service that has a length or chunks. */
+  readonly onDelimitingService?: (service: string) => void;
   /** Time until this daemon stops waiting for requests in flight, ms; infinite if absent. */
   readonly timeLeftMs?: () => number;
   /** Called with the configuration that a peer reports; the peer is named by its peer protocol address. */
@@ -123,6 +126,7 @@
   readonly upstreams: Upstreams;
   readonly directory = new UpstreamDirectory();
   readonly attempts: AttemptRegistry;
+  readonly delimiters: DelimiterHistory;
   readonly running = new RunningCalls();
   readonly chains: CallChains;
   readonly quarantine: Quarantine;
@@ -206,6 +210,7 @@
     this.decisionTrace = new DecisionTrace(clock, requests.write);
     this.chains = new CallChains(clock, random, this.decisionTrace);
     this.attempts = new AttemptRegistry(clock, options.attemptRetentionMs);
+    this.delimiters = new DelimiterHistory(options.onDelimitingService);
     this.peers = new Peers(clock, isPartitioned, pacer, address => this.forwarder.notices.linkEnded(address));
     this.router = new Router({
       clock,
@@ -225,6 +230,7 @@
       onNotice: (service, notice) => this.upstreams.applyPeerNotice(service, notice),
       downstreamLevel: route => this.downstreamLevel(route),
       attempts: this.attempts,
+      delimiters: this.delimiters,
       running: this.running,
       crashDetector: new CrashDetector({
         clock,
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -315,6 +315,7 @@
       freshness: this.organisations.freshness,
       quotas: this.organisations.quotaHandlers,
       onPeerConfiguration: (reported, peer) => this.updater.handleAnnouncement(reported, peer),
+      onDelimitingService: () => void this.discovery.record(),
       timeLeftMs: () => this.drainDeadline - clock.now(),
     });
   }
@@ -365,15 +366,19 @@
       persisted: () => ({
         departures: this.upstreams.departures,
         upstreams: this.upstreams.identifiedUpstreams,
+        delimitingServices: this.core.delimiters.delimitingServices,
       }),
-      onRestore: recorded => this.restoreUpstreams(recorded),
+      onRestore: recorded => this.restore(recorded),
+      onRows: rows =>
+        this.core.delimiters.setReported(rows.flatMap(({ delimitingServices }) => delimitingServices)),
       log: (message, facts) => discoveryLog.info(facts, `Meeting: ${message}`),
     });
   }
 
-  /** Restores the upstreams and shutdowns that an earlier process of this daemon recorded. */
-  private restoreUpstreams({ departures, upstreams }: PersistedState): void {
+  /** Restores the upstreams, their shutdowns, and how they delimit responses, as an earlier process of this daemon recorded them. */
+  private restore({ departures, upstreams, delimitingServices }: PersistedState): void {
     const { settings, clock, log, platformAdapter: adapter } = this.options;
+    this.core.delimiters.restore(delimitingServices);
     for (const { instanceId, born } of departures) this.upstreams.markLeaving(instanceId, born);
     void restoreUpstreams(upstreams, {
       clock,
--- a/packages/membership/src/peerDiscovery.ts
+++ b/packages/membership/src/peerDiscovery.ts
@@ -50,10 +50,12 @@
   readonly departures: readonly Departure[];
   /** The local upstreams, so that a restarted daemon need not wait for their next heartbeats. */
   readonly upstreams: readonly KnownUpstream[];
+  /** Services whose local upstreams have sent responses with a length or in chunks: another response of theirs may be truncated. */
+  readonly delimitingServices: readonly string[];
 }
 
 /** The part of a row that a later process of the daemon restores. */
-export type PersistedState = Pick<DiscoveryRow, 'departures' | 'upstreams'>;
+export type PersistedState = Pick<DiscoveryRow, 'departures' | 'upstreams' | 'delimitingServices'>;
 
 /** A row with its version in the table. */
 export interface ListedRow extends DiscoveryRow {
@@ -94,6 +96,8 @@
   readonly persisted: () => PersistedState;
   /** Called once with the state that an earlier process of this daemon recorded, if there is any. */
   readonly onRestore: (recorded: PersistedState) => void;
+  /** Called with all rows after each read of the table. */
+  readonly onRows: (rows: readonly DiscoveryRow[]) => void;
   readonly log: (message: string, facts: object) => void;
 }
 
@@ -177,6 +181,7 @@
       if (!this.hasCreated) await this.create(signal);
       if (this.mustWrite) await this.write(signal);
       const rows = await table.list(signal);
+      this.options.onRows(rows);
       const { gossipAddress } = this.options.membership.me;
       const own = rows.find(({ address }) => address === this.self);
       this.version = own?.version ?? 0;
--- a/tests/delimiterHistory.spec.ts
+++ b/tests/delimiterHistory.spec.ts
@@ -26,6 +26,31 @@
       expect(isSuspect(status, 'other')).to.equal(true);
     });
 
+  // Guards against parts that look whole at a daemon which has received no other response of the service yet.
+  describe('may be a part if the service has sent lengths', () => {
+    it('to an earlier process of the daemon', () => {
+      history.restore(['receiving']);
+      expect(isSuspect(200)).to.equal(true);
+      expect(history.delimitingServices).to.deep.equal(['receiving']);
+    });
+
+    it('to another daemon, for as long as that reports so', () => {
+      history.setReported(['receiving']);
+      expect(isSuspect(200)).to.equal(true);
+      expect(history.delimitingServices).to.deep.equal([]);
+      history.setReported([]);
+      expect(isSuspect(200)).to.equal(false);
+    });
+  });
+
+  it('leads to one report of a service that otherwise sends lengths', () => {
+    const observed: string[] = [];
+    history = new DelimiterHistory(service => void observed.push(service));
+    for (const delimiter of ['length', 'chunks', 'close'] as const)
+      history.isSuspect(PROCESS, ROUTE, 200, delimiter);
+    expect(observed).to.deep.equal(['receiving']);
+  });
+
   // Guards against whole responses that are refused since the errors of a service have lengths.
   it('is believed if only errors had lengths', () => {
     history.isSuspect(PROCESS, ROUTE, 503, 'length');
--- a/tests/peerDiscovery.spec.ts
+++ b/tests/peerDiscovery.spec.ts
@@ -9,7 +9,13 @@
 
 const SELF = '127.0.0.1:1';
 const DEPARTURE = { instanceId: 'left', born: 0 };
-const RECORDED: DiscoveryRow = { address: SELF, gossipAddress: SELF, departures: [DEPARTURE], upstreams: [] };
+const RECORDED: DiscoveryRow = {
+  address: SELF,
+  gossipAddress: SELF,
+  departures: [DEPARTURE],
+  upstreams: [],
+  delimitingServices: ['orders'],
+};
 
 /** The part of a membership that peer discovery uses, without any other member. */
 const membership = {
@@ -27,7 +33,7 @@
 
   beforeEach(() => {
     rows = [RECORDED];
-    persisted = { departures: [], upstreams: [] };
+    persisted = { departures: [], upstreams: [], delimitingServices: [] };
     const readAllowed = new Promise<void>(resolve => (allowRead = resolve));
     discovery = new PeerDiscovery({
       clock: new ManualClock(),
@@ -51,6 +57,7 @@
       },
       persisted: () => persisted,
       onRestore: recorded => (persisted = recorded),
+      onRows: () => undefined,
       log: () => undefined,
     });
   });
@@ -64,6 +71,7 @@
     allowRead();
     await discovery.firstRoundDone;
     expect(rows[0]?.departures).to.deep.equal([DEPARTURE]);
+    expect(rows[0]?.delimitingServices).to.deep.equal(['orders']);
   });
 
   it('does not prevent a stop in the middle of a round', async () => {
