Take responses without a body for whole whatever length they state

What callers saw: 502 for each 204 and 304 that states a length (a 304 states that of the response it stands for), and a HEAD whose length became 0. Cause: undici compares a stated length with the bytes of the body, also where a response has none; and the daemon gave all responses the length of what it had received. Change: that error ends a response that has no body as a whole one, and no length is added to such responses. The error is told by its code: the bundle has only a part of undici's exports.

--- a/packages/calls/src/index.ts
+++ b/packages/calls/src/index.ts
@@ -56,6 +56,7 @@
 export { isConnectFailure } from './connectFailure.js';
 export { UpstreamConnections } from './upstreamConnections.js';
 export { DelimiterHistory } from './delimiterHistory.js';
+export { isBodyless } from './responseDelimiter.js';
 export { type ResponseDelimiter } from './responseDelimiter.js';
 export { ResponseMismatch, type UpstreamResponse, type UpstreamRequest } from './upstreamExchange.js';
 export {
--- a/packages/calls/src/responseDelimiter.ts
+++ b/packages/calls/src/responseDelimiter.ts
@@ -6,9 +6,14 @@
 
 const BODYLESS_STATUSES = [204, 304];
 
+/** Whether a response has no body, whatever length it states: that would be the one of another response. */
+export function isBodyless(method: string, status: number): boolean {
+  return method === 'HEAD' || BODYLESS_STATUSES.includes(status);
+}
+
 /** How an upstream's response to a request with this method is delimited. */
 export function delimiterOf(method: string, status: number, headers: IncomingHttpHeaders): ResponseDelimiter {
-  if (method === 'HEAD' || BODYLESS_STATUSES.includes(status)) return 'no-body';
+  if (isBodyless(method, status)) return 'no-body';
   const codings = headers['transfer-encoding'];
   if (codings !== undefined) return endsInChunked(codings) ? 'chunks' : 'close';
   return headers['content-length'] === undefined ? 'close' : 'length';
--- a/packages/calls/src/upstreamExchange.ts
+++ b/packages/calls/src/upstreamExchange.ts
@@ -55,6 +55,10 @@
 /** The response on the connection belongs to another request. The upstream may have run this one nevertheless. */
 export class ResponseMismatch extends Error {}
 
+function isLengthMismatch({ code }: NodeJS.ErrnoException): boolean {
+  return code === 'UND_ERR_RES_CONTENT_LENGTH_MISMATCH';
+}
+
 /** A request that is being sent and its response, as a handler of undici's events. */
 export class UpstreamExchange implements Dispatcher.DispatchHandler {
   private status = 0;
@@ -172,7 +176,9 @@
     else this.settle.resolve(this.createResponse());
   }
 
+  /** undici compares the length that a response states with its body also where the response has none. */
   onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+    if (this.delimiter === 'no-body' && isLengthMismatch(error)) return this.onResponseEnd();
     this.end();
     this.fail(error);
   }
--- a/packages/daemon/src/callerResponse.ts
+++ b/packages/daemon/src/callerResponse.ts
@@ -8,6 +8,7 @@
   STRIPPED_HEADERS,
   STRIPPED_HEADERS_WITH_AUTHORIZATION,
   forwardedRawHeaders,
+  isBodyless,
   isFinalPart,
 } from '@cleatquay/calls';
 import { parseCredentials } from '@cleatquay/organisations';
@@ -188,8 +189,9 @@
   writer: ResponseWriter,
 ): void {
   const list = [...parseHeaderBlock(headers), ...writer.addedHeaders(status, response.req)];
-  if (length !== undefined) list.push('content-length', String(length));
-  startDelivery(response, length);
+  const bodyless = isBodyless(response.req.method ?? '', status);
+  if (length !== undefined && !bodyless) list.push('content-length', String(length));
+  startDelivery(response, bodyless ? 'no-body' : length === undefined ? 'chunks' : 'length', length);
   response.writeHead(status, list);
 }
 
--- a/packages/daemon/src/responseDelivery.ts
+++ b/packages/daemon/src/responseDelivery.ts
@@ -16,8 +16,11 @@
 const deliveries = new WeakMap<ServerResponse, ResponseDelivery>();
 
 /** Records that the head of a response is being written. */
-export function startDelivery(response: ServerResponse, length: number | undefined): void {
-  const delimiter = length === undefined ? 'chunks' : 'length';
+export function startDelivery(
+  response: ServerResponse,
+  delimiter: ResponseDelimiter,
+  length: number | undefined,
+): void {
   deliveries.set(response, { delimiter, length, bodyBytes: 0, isStreamed: false });
 }
 
--- a/tests/bytesAfterResponses.spec.ts
+++ b/tests/bytesAfterResponses.spec.ts
@@ -45,8 +45,12 @@
     await upstream[Symbol.asyncDispose]();
   });
 
-  /** The response to a POST whose upstream does `respond`. */
-  const responseTo = async (respond: (socket: Socket, own: string) => void, ingress: number) => {
+  /** The response to a request whose upstream does `respond`. */
+  const responseTo = async (
+    respond: (socket: Socket, own: string) => void,
+    ingress: number,
+    method = 'POST',
+  ) => {
     const id = `q${String(++count)}`;
     upstream.respond = (socket, { headers, path }) => {
       if (path === '/health') socket.end('HTTP/1.1 404 x\r\nContent-Length: 0\r\n\r\n');
@@ -55,7 +59,7 @@
     };
     const caller = openConnection(fleet.nodes[ingress]!.daemon.addresses.get('callers')!);
     caller.socket.write(
-      `POST /x HTTP/1.1\r\nHost: exports.example\r\nRequest-Id: ${id}\r\nDeadline-Ms: 1500\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`,
+      `${method} /x HTTP/1.1\r\nHost: exports.example\r\nRequest-Id: ${id}\r\nDeadline-Ms: 1500\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`,
     );
     await caller.closed;
     return wholeResponse(caller.bytes, caller.end);
@@ -104,6 +108,44 @@
     });
   });
 
+  // Guards against whole responses that are refused, or get a wrong length, since they state that of another response.
+  describe('that has no body is whole whatever length it states', () => {
+    for (const [method, status] of [
+      ['POST', 204],
+      ['POST', 304],
+      ['HEAD', 200],
+    ] as const)
+      for (const length of [0, 500])
+        for (const ingress of [0, 1])
+          it(`${method}, ${String(status)}, ${String(length)} bytes, daemon ${String(ingress)}`, async () => {
+            const received = await responseTo(
+              (socket, own) =>
+                socket.write(
+                  `HTTP/1.1 ${String(status)} x\r\n${own}Content-Length: ${String(length)}\r\n\r\n`,
+                ),
+              ingress,
+              method,
+            );
+            expect(received?.start).to.equal(String(status));
+            expect(received?.headers.get('content-length')).to.equal(undefined);
+            expect(received?.body.length).to.equal(0);
+          });
+  });
+
+  // Guards against bytes that are no response and reach a caller as one, or end the daemon.
+  for (const status of ['000', '001', '099', '1000', '20', 'two'])
+    it(`is none with the status ${status}`, async () => {
+      for (const ingress of [0, 1]) {
+        const received = await responseTo(
+          (socket, own) => socket.write(`HTTP/1.1 ${status} OK\r\n${own}${LENGTH}`),
+          ingress,
+        );
+        expect(received?.start).to.equal('502');
+      }
+      const next = await responseTo((socket, own) => socket.write(`HTTP/1.1 200 OK\r\n${own}${LENGTH}`), 1);
+      expect(next?.start).to.equal('200');
+    });
+
   // Guards against a response that looks whole though only an interim one came before the end.
   it('is not an interim one at whose end the connection ends', async () => {
     const received = await responseTo(
