Bound what is read of the store, and refuse pages that do not advance

What could happen: a store that sends without end filled a daemon's memory until the call timed out; a page without rows that says that there are more was taken for the last one, so that a part of a table looked whole; a page that repeats was read for ever, its rows kept; and the text of a 400 was read as an object. Cause: bodies were read without a bound, and the end of a table and of an object was concluded from what was not there.

--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -7,4 +7,5 @@
   type RowWrite,
   type Table,
 } from './store.js';
+export { boundedText } from './boundedText.js';
 export { HttpStore } from './httpStore.js';
--- a/tests/storeResponses.spec.ts
+++ b/tests/storeResponses.spec.ts
@@ -100,3 +100,61 @@
     });
   }
 });
+
+describe('a response of the store', () => {
+  /** Several times the longest response that a client of the store accepts. */
+  const MAX_SENT_BYTES = 100_000_000;
+  const HEAD = 'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nConnection: close\r\n\r\n';
+  let server: RawUpstream;
+
+  beforeEach(async () => {
+    server = await RawUpstream.start();
+  });
+
+  afterEach(() => server[Symbol.asyncDispose]());
+
+  const resultOf = (call: Promise<unknown>): Promise<string | undefined> =>
+    call.then(
+      () => 'done',
+      (error: unknown) => (error as { result?: string }).result,
+    );
+
+  // Guards against a process that runs out of memory by what the store sends.
+  for (const client of ['rows', 'objects'] as const)
+    it(`without end is read up to a limit, ${client}`, async () => {
+      let sentBytes = 0;
+      server.respond = socket => {
+        socket.write(`${HEAD}{"rows":[`);
+        const send = () => {
+          if (socket.destroyed || sentBytes > MAX_SENT_BYTES) return socket.destroy();
+          sentBytes += 1_000_000;
+          return socket.write(' '.repeat(1_000_000), send);
+        };
+        send();
+      };
+      await using rows = new StoreClient(server.address, new SystemClock());
+      await using objects = new HttpStore(`http://${server.address}`);
+      const call = client === 'rows' ? rows.rows('daemons', new AbortController().signal) : objects.get('x');
+      expect(await resultOf(call)).to.equal('platformAnswerInvalid');
+      expect(sentBytes).to.be.below(MAX_SENT_BYTES);
+    });
+
+  // Guards against reads that never end, or miss rows, since a page says that there are more and doesn't advance.
+  for (const [name, keys] of Object.entries({ 'no rows': [], 'the rows of the page before': ['a'] }))
+    it(`that states more rows after ${name} is refused`, async () => {
+      const rows = keys.map(key => ({ key, value: 'e30=', rowVersion: 7 }));
+      const page = JSON.stringify({ rows, hasMore: true, rowVersion: 9 });
+      server.respond = socket => socket.end(`${HEAD}${page}`);
+      await using client = new StoreClient(server.address, new SystemClock());
+      const call = client.rows('daemons', AbortSignal.timeout(3000));
+      expect(await resultOf(call)).to.equal('platformAnswerInvalid');
+      expect(server.requests.length).to.be.below(3);
+    });
+
+  // Guards against the text of an error that is read as an object.
+  it('with an error status is no object', async () => {
+    server.respond = socket => socket.end('HTTP/1.1 400 Bad Request\r\nContent-Length: 2\r\n\r\n{}');
+    await using client = new HttpStore(`http://${server.address}`);
+    expect(await resultOf(client.get('x'))).to.equal('platformDown');
+  });
+});
