Move the drain of a daemon into a module of its own

relayDaemon.ts held the start, the deadline and the end of a drain beside everything else that it connects. drain.ts has them now, with the time that is left for requests; nothing that a caller sees changes.

--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -3,7 +3,6 @@
 import {
   FleetRetryBudget,
   LearnedCalls,
-  DrainEnd,
   Relay,
   type UpstreamDialect,
   RequestScheduler,
@@ -35,6 +34,7 @@
 import { ConfigurationUpdater } from './configurationUpdater.js';
 import { DaemonCore } from './daemonCore.js';
 import { restoreUpstreams } from './restoreUpstreams.js';
+import { Drain } from './drain.js';
 import { HttpListeners, type Listener, listenAddress, serverOf, startServers } from './httpListeners.js';
 import { Metrics } from './metrics.js';
 import { operatorGateway } from './operatorGateway.js';
@@ -59,14 +59,10 @@
  * draining it sooner would only lengthen its outage, since the next process starts no earlier.
  */
 const UNREADY_DETECTION_MS = 2300;
-/** Interval at which requests in flight are checked during the drain, ms. */
-const DRAIN_POLL_MS = 25;
 /** Time for the last responses to be sent before connections are closed, ms. */
 const RESPONSE_FLUSH_MS = 100;
 /** Time after which a daemon becomes ready even though it has discovered no peers, ms. */
 const DISCOVERY_TIMEOUT_MS = 1500;
-/** Ratio of the grace period that the drain may take; the rest is for closing before the process is killed. */
-const DRAIN_GRACE_RATIO = 0.85;
 /** Upper bound of the queueing delay at an upstream, ms: a fifth of the shortest usual target latency. */
 const MAX_QUEUE_MS = 50;
 
@@ -117,10 +113,7 @@
   private isDiscoveryDone = false;
   /** Whether the list of daemons was read from the platform: the first discovery round has succeeded. */
   private hasFleetView = false;
-  private shutdownStartedAt: number | undefined;
-  /** Monotonic time at which the drain stops waiting for requests in flight, ms; after the drain, the time at which the drain ended. */
-  private drainDeadline = Number.POSITIVE_INFINITY;
-  private readonly drainEnd = new DrainEnd();
+  private readonly shutdown: Drain;
 
   private constructor(private readonly options: RelayDaemonOptions) {
     const { settings, clock, random, log, platformAdapter: adapter } = options;
@@ -153,6 +146,12 @@
       hasFleetView: () => this.hasFleetView,
       log: (message, facts) => this.configurationLog.info(facts, `Configuration: ${message}`),
     });
+    this.shutdown = new Drain({
+      clock,
+      graceMs: settings.graceMs,
+      outstanding: () => ({ inFlight: this.inFlight, running: this.core.running.size }),
+      log: (message, facts) => log.info(facts, message),
+    });
     const { metrics } = this;
     const responseEnds = new ResponseEndLog({ metrics, decisionTrace: () => this.core.decisionTrace });
     this.gateway = new RelayGateway({
@@ -160,7 +159,7 @@
       dialect: adapter.callers,
       limits: () => this.configuration.active?.plan.limits,
       needsKeys: () => this.organisations.needsKeys,
-      isShuttingDown: () => this.shutdownStartedAt !== undefined,
+      isShuttingDown: () => this.shutdown.hasStarted,
       scheduler: this.scheduler,
       clock,
       onRequestStart: () => this.onRequestStart(),
@@ -190,7 +189,7 @@
 
   /** Whether callers should use this daemon. */
   get isReady(): boolean {
-    return this.shutdownStartedAt === undefined && this.configuration.generation > 0 && this.isDiscoveryDone;
+    return !this.shutdown.hasStarted && this.configuration.generation > 0 && this.isDiscoveryDone;
   }
 
   get membership(): Membership {
@@ -244,16 +243,10 @@
   /** Fails the readiness check, and waits for requests in flight within the grace period. */
   async drain(): Promise<void> {
     const { clock, settings } = this.options;
-    const startedAt = clock.now();
-    this.shutdownStartedAt = startedAt;
-    this.drainDeadline = startedAt + settings.graceMs * DRAIN_GRACE_RATIO;
+    this.shutdown.start();
     await clock.sleep(Math.min(UNREADY_DETECTION_MS, settings.graceMs / 2));
     this.upstreams.setDraining(true);
-    while (!this.isIdle() && clock.now() < this.drainDeadline) await clock.sleep(DRAIN_POLL_MS);
-    // From here on new requests are refused: callers keep using open connections until these are closed.
-    this.drainDeadline = Math.min(this.drainDeadline, clock.now());
-    this.logShutdown('Daemon: Stopped waiting for requests in flight.');
-    this.drainEnd.reach();
+    await this.shutdown.waitUntilIdle();
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -261,7 +254,7 @@
     this.pressure[Symbol.dispose]();
     this.listeners.stopAccepting();
     await this.options.clock.sleep(RESPONSE_FLUSH_MS);
-    this.logShutdown('Daemon: Closing the connections of callers.');
+    this.shutdown.log('Daemon: Closing the connections of callers.');
     // Requests still in flight have used up the grace period; a server that closes would wait for them.
     this.listeners.closeConnections();
     await this.broker.stop();
@@ -271,12 +264,6 @@
     await this.core[Symbol.asyncDispose]();
   }
 
-  private logShutdown(message: string): void {
-    const { clock, log } = this.options;
-    const leavingForMs = Math.round(clock.now() - (this.shutdownStartedAt ?? clock.now()));
-    log.info({ leavingForMs, inFlight: this.inFlight, running: this.core.running.size }, message);
-  }
-
   private startCore(): Promise<DaemonCore> {
     const { settings, clock, random, log, platformAdapter: adapter } = this.options;
     const { retries } = settings;
@@ -316,7 +303,7 @@
       quotas: this.organisations.quotaHandlers,
       onPeerConfiguration: (reported, peer) => this.updater.handleAnnouncement(reported, peer),
       onDelimitingService: () => void this.discovery.record(),
-      timeLeftMs: () => this.drainDeadline - clock.now(),
+      timeLeftMs: () => this.shutdown.timeLeftMs,
     });
   }
 
@@ -336,8 +323,8 @@
       quotaGate: this.organisations.createQuotaGate(this.core.decisionTrace),
       uploads: new Uploads(this.core.uploadBudget, random),
       pressureLevel: () => this.pressure.level,
-      timeLeftMs: () => this.drainDeadline - clock.now(),
-      drainEnd: this.drainEnd,
+      timeLeftMs: () => this.shutdown.timeLeftMs,
+      drainEnd: this.shutdown.end,
       random,
     });
   }
@@ -466,10 +453,6 @@
     };
   }
 
-  private isIdle(): boolean {
-    return this.inFlight === 0 && this.core.running.size === 0;
-  }
-
   private get reportSources(): RelayReportSources {
     const { configuration, membership, upstreams, updater } = this;
     const { router, running, chains, attempts, quarantine } = this.core;
