Show the refusals in two tests that failed beside load, and list one of them

'keeps responding while nobody reads its log' got a 503 where its upstream breaks off (502): beside 18 busy processes 1 of 3 runs shows the reason, 'The daemon lacks processor time.', what a daemon says that lags over 0.2 s. 'limits an organisation across all daemons' had 22 of 120 statuses that are neither 200 nor 429: not reproduced in 7 runs, and listed. Both now show what they got; the checks are the same.

--- a/tests/organisations.spec.ts
+++ b/tests/organisations.spec.ts
@@ -173,7 +173,8 @@
       const seconds = (performance.now() - startedAt) / 1000;
       const served = responses.filter(({ status }) => status === 200).length;
       const refused = responses.filter(({ status }) => status === 429);
-      expect(served + refused.length).to.equal(120);
+      const unexpected = responses.filter(({ status }) => status !== 200 && status !== 429);
+      expect(unexpected.map(({ status, text }) => `${String(status)} ${text}`)).to.deep.equal([]);
       expect(served).to.be.within(1, 6 + 10 * (seconds + 0.5));
       for (const { headers, text } of refused) {
         expect(Number(headers['retry-after'])).to.be.greaterThan(0);
--- a/tests/platformProcess.spec.ts
+++ b/tests/platformProcess.spec.ts
@@ -94,19 +94,21 @@
     await upstream.announce();
     upstream.keepAnnouncing(200);
   };
-  const sendRequest = async (id: string, host = 'history.example') => {
+  const exchange = async (id: string, host = 'history.example') => {
     const [ip, port] = callers.split(':');
-    return new Promise<number>(resolve => {
+    return new Promise<{ status: number; text: string }>(resolve => {
+      let text = '';
       const headers = { host, 'Request-Id': id, 'Deadline-Ms': '2000' };
       const call = request({ host: ip, port, path: '/x', headers, agent: false }, response => {
-        response.resume();
-        response.on('end', () => resolve(response.statusCode ?? 0));
-        response.on('close', () => resolve(0));
+        response.on('data', (chunk: Buffer) => (text += chunk.toString()));
+        response.on('end', () => resolve({ status: response.statusCode ?? 0, text }));
+        response.on('close', () => resolve({ status: 0, text }));
       });
-      call.on('error', () => resolve(0));
+      call.on('error', () => resolve({ status: 0, text }));
       call.end();
     });
   };
+  const sendRequest = async (id: string, host?: string) => (await exchange(id, host)).status;
 
   it('becomes ready and serves; after SIGTERM it is not ready, completes requests in flight, and exits with 0', async () => {
     start(settings);
@@ -137,7 +139,10 @@
     start(settings);
     await untilReady();
     upstream.behaviour.fault = () => 'drop-response';
-    for (let i = 0; i < 600; i++) expect(await sendRequest(`unread-${String(i)}`)).to.equal(502);
+    for (let i = 0; i < 600; i++) {
+      const { status, text } = await exchange(`unread-${String(i)}`);
+      expect(status, text).to.equal(502);
+    }
   });
 
   for (const setting of ['callers', 'readiness', 'announcements'] as const) {
