Respond to what a stopping daemon has read late before it closes connections

Cause: a daemon closed the connections of its callers 100 ms after its drain, by a timer. If its event loop lagged by more, that timer ran before it had read, or refused, requests that had arrived long before: their connections ended without a response.

Change: after the 100 ms the daemon first reads what has arrived, and then waits, for at most 150 ms, until nothing is outstanding. Both interfaces share this step (responseFlush.ts); the native one is read, not tested anew.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -39,6 +39,7 @@
 import { addQuarantineGauges } from './quarantineGauges.js';
 import { createBroker } from './createBroker.js';
 import { PlatformReaders } from './platformReaders.js';
+import { flushResponses } from './responseFlush.js';
 import { SourceContact } from './sourceContact.js';
 import { addUpstreamGauges } from './upstreamGauges.js';
 import { checkListening, checkSameVm } from './upstreamAddress.js';
@@ -48,8 +49,6 @@
 /** Time in which callers on keep-alive connections learn of the shutdown before requests are refused, ms. */
 const SHUTDOWN_NOTICE_MS = 500;
 const DRAIN_POLL_MS = 20;
-/** Time for the last responses to be sent before connections are closed, ms. */
-const RESPONSE_FLUSH_MS = 100;
 /** Interval of the announcements of upstreams that use the native interface, ms. */
 const HEARTBEAT_MS = 1000;
 /** Upper bound of the queueing delay before there is a configuration, ms. */
@@ -166,7 +165,7 @@
   /** A server that closes would wait for connections that no request has used, and for requests that the drain did not wait for. */
   private async closeConnections(): Promise<void> {
     for (const server of this.servers) server.close();
-    await this.options.clock.sleep(RESPONSE_FLUSH_MS);
+    await flushResponses(this.options.clock, () => this.inFlight.size > 0);
     for (const server of this.servers) server.closeAllConnections();
   }
 
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -41,6 +41,7 @@
 import { OperatorRequests } from './operatorRequests.js';
 import { createBroker } from './createBroker.js';
 import { ResponseEndLog } from './responseEndLog.js';
+import { flushResponses } from './responseFlush.js';
 import { type CallerDialect, RelayGateway } from './relayGateway.js';
 import { PipelinedRequests } from './pipelinedRequests.js';
 import { UnreadBodies } from './unreadBodies.js';
@@ -59,8 +60,6 @@
  * draining it sooner would only lengthen its outage, since the next process starts no earlier.
  */
 const UNREADY_DETECTION_MS = 2300;
-/** Time for the last responses to be sent before connections are closed, ms. */
-const RESPONSE_FLUSH_MS = 100;
 /** Time after which a daemon becomes ready even though it has discovered no peers, ms. */
 const DISCOVERY_TIMEOUT_MS = 1500;
 /** Upper bound of the queueing delay at an upstream, ms: a fifth of the shortest usual target latency. */
@@ -253,7 +252,7 @@
     this.membership.leave();
     this.pressure[Symbol.dispose]();
     this.listeners.stopAccepting();
-    await this.options.clock.sleep(RESPONSE_FLUSH_MS);
+    await flushResponses(this.options.clock, () => this.inFlight > 0);
     this.shutdown.log('Daemon: Closing the connections of callers.');
     // Requests still in flight have used up the grace period; a server that closes would wait for them.
     this.listeners.closeConnections();
--- a/tests/plannedStop.spec.ts
+++ b/tests/plannedStop.spec.ts
@@ -1,10 +1,31 @@
 import { expect } from 'chai';
+import { once } from 'node:events';
+import { type Socket, connect } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { type CallerResponse, PlatformFleet, type PlatformNode, routeTo } from './fixtures/platformFleet.js';
 
 /** Longer than the stopping daemon waits for requests in flight: 85% of its grace of 3 s. */
 const LONG_WORK_MS = 2800;
 const DEADLINE_MS = 5000;
+const KEPT_CONNECTIONS = 8;
+/** Longer than the stopping daemon leaves for the last responses. */
+const STANDSTILL_MS = 250;
+
+/** Holds up the event loop of this process, and with it the daemons. */
+function standStill(): void {
+  const until = performance.now() + STANDSTILL_MS;
+  while (performance.now() < until);
+}
+
+/** Sends a request over an open connection; returns the status, or 0 if the connection closes without a response. */
+async function sendOver(socket: Socket, id: string): Promise<number> {
+  let text = '';
+  socket.on('data', (chunk: Buffer) => (text += chunk.toString()));
+  const closed = new Promise(resolve => socket.once('close', resolve));
+  socket.write(`GET /x HTTP/1.1\r\nHost: orders.example\r\nRequest-Id: ${id}\r\nDeadline-Ms: 400\r\n\r\n`);
+  await closed;
+  return Number(/^HTTP\/1\.1 (\d{3})/.exec(text)?.[1] ?? 0);
+}
 
 describe('a daemon in a planned stop', () => {
   let fleet: PlatformFleet;
@@ -58,4 +79,20 @@
     const [, ...received] = await Promise.all([stop(), responses]);
     expect(statuses(received.flat())).to.deep.equal(Array(8).fill(504));
   });
+
+  // Guards against requests that a daemon reads late, as its event loop lags, and whose connections it closes without a response.
+  it('responds to requests that it has read late before it closes their connections', async () => {
+    const [ip, port] = stopping.daemon.addresses.get('callers')!.split(':');
+    const sockets = Array.from({ length: KEPT_CONNECTIONS }, () => connect(Number(port), ip));
+    for (const socket of sockets) socket.on('error', () => undefined);
+    await Promise.all(sockets.map(socket => once(socket, 'connect')));
+    await stopping.daemon.drain();
+    const closed = stopping.daemon[Symbol.asyncDispose]();
+    // After this phase of the event loop, timers run before connections are read.
+    await new Promise(setImmediate);
+    const received = sockets.map((socket, i) => sendOver(socket, `late-${String(i)}`));
+    standStill();
+    const [statuses] = await Promise.all([Promise.all(received), closed]);
+    expect(statuses).to.deep.equal(Array(KEPT_CONNECTIONS).fill(503));
+  });
 });
