Compare the digest of a section with the name of its object

Cause: sections of a configuration are objects that are named by the digest of their content, and nobody compared the two. A store that answers with other content, for example that of another object, was believed as long as it was a valid configuration.

Result: 'is no section of a configuration' reads the altered section before, and is green now.

--- a/packages/configuration/src/configurationStore.ts
+++ b/packages/configuration/src/configurationStore.ts
@@ -86,7 +86,7 @@
     const manifest: Manifest = { sections: {} };
     const changedNames = new Set(changed.map(change => change.section));
     for (const [name, content] of sections) {
-      const object = `section-${createHash('sha256').update(content).digest('hex')}`;
+      const object = sectionObject(content);
       if (changedNames.has(name)) await this.writeObject(object, content);
       manifest.sections[name] = { object };
     }
@@ -151,14 +151,26 @@
     const manifest = parseManifest(await this.readObject(wanted.manifest));
     const entries = Object.entries(manifest.sections);
     const sections = new Map<string, string>();
-    for (const [name, { object }] of entries) sections.set(name, await this.readObject(object));
+    for (const [name, { object }] of entries) sections.set(name, await this.readSection(object));
     joinSections(sections);
     return { generation: wanted.generation, applyId: wanted.applyId, sections };
   }
 
+  /** Its name is the digest of its content, so that other content shows. */
+  private async readSection(object: string): Promise<string> {
+    const content = await this.readObject(object);
+    if (sectionObject(content) === object) return content;
+    throw new Failure(`The content of ${object} has another digest.`, { result: 'platformAnswerInvalid' });
+  }
+
   private async readObject(name: string): Promise<string> {
     const content = await this.platform.get(name);
     if (content !== undefined) return content;
     throw new Failure(`The object store has no ${name}.`, { result: 'objectMissing' });
   }
 }
+
+/** Name of the object that holds a section. */
+function sectionObject(content: string): string {
+  return `section-${createHash('sha256').update(content).digest('hex')}`;
+}
--- a/tests/storeResponses.spec.ts
+++ b/tests/storeResponses.spec.ts
@@ -158,3 +158,28 @@
     expect(await resultOf(client.get('x'))).to.equal('platformDown');
   });
 });
+
+describe('an object of the store with the content of another one', () => {
+  // Guards against a configuration that no operator has applied.
+  it('is no section of a configuration', async () => {
+    await using store = new StoreStandin();
+    await using platform = new HttpStore(await store.listen());
+    await new ConfigurationStore(platform, new SystemClock()).apply(operatorFileOf(deployments.frostline!));
+    const isManifest = (name: string) => name.startsWith('manifest-');
+    const altered = {
+      read: (key: string) => platform.read(key),
+      commit: () => Promise.reject(new Error('Not used.')),
+      put: () => Promise.reject(new Error('Not used.')),
+      get: async (name: string) => {
+        const content = await platform.get(name);
+        return isManifest(name) ? content : content?.replace(/"slots":\d+/, '"slots":1');
+      },
+    };
+    const configurations = new ConfigurationStore(altered, new SystemClock());
+    const outcome = await configurations.read().then(
+      () => 'read',
+      (error: unknown) => (error as { result?: string }).result,
+    );
+    expect(outcome).to.equal('platformAnswerInvalid');
+  });
+});
