Bound what the command line reads of a daemon, and name a response that is not JSON

Cause: the command line read the response of a daemon to its end, whatever its length, and parsed it without a check: what is not JSON was reported as an internal error (CQ6999 Unexpected token …).

Change: it reads at most 64 MiB, and names the daemon whose response is not JSON (6001).

--- a/packages/cli/src/fleetCommands.ts
+++ b/packages/cli/src/fleetCommands.ts
@@ -2,10 +2,13 @@
 import { type Clock } from '@cleatquay/clock';
 import { Failure, type ResultName } from '@cleatquay/errors';
 import { type DispositionCounts, type RequestDisposition } from '@cleatquay/organisations';
+import { boundedText } from '@cleatquay/store';
 import { request } from 'undici';
 import { table } from './output.js';
 
 const TIMEOUT_MS = 2000;
+/** More than the dump of any daemon. */
+const MAX_RESPONSE_BYTES = 67_108_864;
 const POLL_INTERVAL_MS = 250;
 /** Enough digits to distinguish the configurations of a fleet. */
 const SHORT_DIGEST_LENGTH = 8;
@@ -252,11 +255,20 @@
 
 async function requestJson<T>(operatorAddress: string, method: 'GET' | 'POST', path: string): Promise<T> {
   const { status, text } = await sendCommand(operatorAddress, method, path);
-  if (status === 200) return JSON.parse(text) as T;
-  const { result, message, field } = JSON.parse(text) as CommandError;
+  if (status === 200) return parseResponse<T>(operatorAddress, text);
+  const { result, message, field } = parseResponse<CommandError>(operatorAddress, text);
   throw new Failure(message, { result, field });
 }
 
+function parseResponse<T>(operatorAddress: string, text: string): T {
+  try {
+    return JSON.parse(text) as T;
+  } catch (error) {
+    const message = `The response from ${operatorAddress} is not JSON.`;
+    throw new Failure(message, { result: 'daemonUnreachable', cause: error });
+  }
+}
+
 /** Error response of a daemon to a command. */
 interface CommandError {
   readonly result: ResultName;
@@ -272,8 +284,9 @@
   try {
     const signal = AbortSignal.timeout(TIMEOUT_MS);
     const response = await request(`http://${operatorAddress}${path}`, { method, signal });
-    return { status: response.statusCode, text: await response.body.text() };
+    return { status: response.statusCode, text: await boundedText(response.body, MAX_RESPONSE_BYTES) };
   } catch (error) {
+    if (error instanceof Failure) throw error;
     throw new Failure(`No response from ${operatorAddress}.`, { result: 'daemonUnreachable', cause: error });
   }
 }
