Exit within the grace though nobody reads the log

Cause: a daemon that ends writes what is buffered of its log, by the library's exit handler, and waits for it without a bound; a thread that is in a write to a full pipe holds up the exit, too. A daemon whose log reader stalled was killed at the end of its grace.

The soak prints the log of a stop that takes too long. The native daemon's log is as before.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -7,6 +7,7 @@
 export { ResponseCollector } from './responseCollector.js';
 export { UnreadBodies } from './unreadBodies.js';
 export { PipelinedRequests } from './pipelinedRequests.js';
+export { LogOutput } from './logOutput.js';
 export { PressureLog } from './pressureLog.js';
 export { type RelaySettings } from './relaySettings.js';
 export { type Announcement } from './announcement.js';
--- a/tests/plannedStopSoak.spec.ts
+++ b/tests/plannedStopSoak.spec.ts
@@ -149,6 +149,15 @@
       .join('');
   };
 
+  /** What a daemon logged about a stop and its processor time, with the time since SIGTERM, ms. */
+  const stepsOf = (node: number, at: number): string[] => {
+    const sinceMs = ({ time }: Record<string, unknown>) =>
+      Math.round(Number(time) - performance.timeOrigin - at);
+    return fleet.nodes[node]!.logged.filter(line => /^(Daemon|Processor): /.test(String(line['msg'])))
+      .filter(line => sinceMs(line) > -1000 && sinceMs(line) < GRACE_MS + 1000)
+      .map(line => `${String(sinceMs(line))}: ${JSON.stringify(line)}`);
+  };
+
   it(`lose no request that has run (seed ${SEED})`, async function () {
     this.timeout(60_000 + ROUNDS * 15_000);
     for (const [index, { callerAddress }] of fleet.nodes.entries())
@@ -170,7 +179,9 @@
         ? []
         : [describeFault(fault, record, runs.get(record.id) ?? [], stops) + logOf(record)];
     });
-    const late = stops.filter(({ tookMs, wasSuspended }) => !wasSuspended && tookMs >= GRACE_MS - 50);
+    const late = stops
+      .filter(({ tookMs, wasSuspended }) => !wasSuspended && tookMs >= GRACE_MS - 50)
+      .map(({ node, at, tookMs }) => ({ node, tookMs, steps: stepsOf(node, at) }));
     const statuses = countBy(callers.records, ({ kind, status }) => `${kind} ${String(status)}`);
     const unanswered = callers.records.filter(
       record => record.status === 0 && (runs.get(record.id)?.length ?? 0) > 0 && !brokenOff.has(record.id),
--- a/tests/platformProcess.spec.ts
+++ b/tests/platformProcess.spec.ts
@@ -10,6 +10,10 @@
 import { ReservedPorts } from './fixtures/reservedPorts.js';
 import { configurationText, routeTo } from './fixtures/platformFleet.js';
 
+const GRACE_MS = 4000;
+/** Their log lines fill the buffers of standard output. */
+const UNREAD_LOG_REQUESTS = 1200;
+
 describe('the bundled daemon as a process', () => {
   let store: PlatformStoreStandin;
   let upstream: PlatformUpstreamStandin;
@@ -41,7 +45,7 @@
       heartbeatSeconds: 0.2,
       store: await store.listen(),
       bounds: {
-        graceS: 4,
+        graceS: GRACE_MS / 1000,
         retryBudgetRatio: 0.2,
         budgetExtraRetries: 10,
         budgetWindowS: 10,
@@ -145,6 +149,18 @@
     }
   });
 
+  // Guards against a daemon that is killed at the end of its grace, since its last log lines can't be written.
+  it('exits within its grace while nobody reads its log', async () => {
+    start(settings);
+    await untilReady();
+    upstream.behaviour.fault = () => 'drop-response';
+    for (let i = 0; i < UNREAD_LOG_REQUESTS; i++) await exchange(`unread-${String(i)}`);
+    const exited = once(daemon, 'exit');
+    daemon.kill('SIGTERM');
+    await Promise.race([exited, new Promise(resolve => setTimeout(resolve, GRACE_MS))]);
+    expect(daemon.exitCode).to.equal(0);
+  });
+
   for (const setting of ['callers', 'readiness', 'announcements'] as const) {
     it(`reports that its address for ${setting} is in use, and exits`, async () => {
       const address = String(settings[setting]);
