Keep in a daemon's row on which routes services send close-delimited responses

Cause: where an upstream sends lengths on other routes, 32 responses without one are refused on a route before they are believed, by each daemon and again after each of its starts: whole responses to non-idempotent requests were lost each time.

Change: a route with enough such responses in a row is part of the evidence in the daemon's row, beside the services that delimit. The next process and the other daemons believe such responses there from the first one on, but for a process that has sent another kind. A response with a length or chunks on the route takes the entry back.

--- a/packages/calls/src/delimiterHistory.ts
+++ b/packages/calls/src/delimiterHistory.ts
@@ -11,6 +11,8 @@
 const CONSECUTIVE_TO_TRUST = 32;
 /** Routes come from other daemons; beyond this number the oldest is evicted. */
 const MAX_ROUTES = 4096;
+/** Close-delimited routes that are kept for the next process of the daemon; beyond this number the oldest is evicted. */
+export const MAX_CLOSE_DELIMITED_ROUTES = 256;
 const MIN_ERROR_STATUS = 400;
 
 /** A process of an upstream. */
@@ -20,6 +22,19 @@
   readonly start: string;
 }
 
+/** A route on which a service means to send close-delimited responses. */
+export interface CloseDelimitedRoute {
+  readonly service: string;
+  readonly route: string;
+}
+
+/** What one daemon knows of how services delimit their responses, as it is kept for its next process and for other daemons. */
+export interface DelimiterEvidence {
+  /** Services of which some response that was no error had a length or chunks. */
+  readonly delimitingServices: readonly string[];
+  readonly closeDelimitedRoutes: readonly CloseDelimitedRoute[];
+}
+
 /** How the responses of a service were delimited. It outlasts the process of an upstream, since the next one is usually alike. */
 export class DelimiterHistory {
   /** Services of which some response that was no error had a length or chunks, at an earlier process of this daemon, too. */
@@ -30,24 +45,36 @@
   private readonly consecutive = new Map<string, number>();
   /** The start of the process that last sent another one, by service and route. */
   private readonly delimitingStarts = new Map<string, string>();
+  /** Routes with enough close-delimited responses in a row at this daemon, by service and route. */
+  private readonly closeDelimited = new Map<string, CloseDelimitedRoute>();
+  /** The same at other daemons, by service and route. */
+  private readonly reportedCloseDelimited = new Set<string>();
 
-  /** `onObserved` is called at the first such response of a service to this daemon. */
-  constructor(private readonly onObserved: (service: string) => void = () => undefined) {}
+  /** `onEvidence` is called when the evidence of this daemon changes. */
+  constructor(private readonly onEvidence: () => void = () => undefined) {}
 
-  /** Services of which this daemon has received a response with a length or chunks. */
-  get delimitingServices(): readonly string[] {
-    return [...this.observed];
+  /** What this daemon has seen, and an earlier process of it. */
+  get evidence(): DelimiterEvidence {
+    return {
+      delimitingServices: [...this.observed],
+      closeDelimitedRoutes: [...this.closeDelimited.values()],
+    };
   }
 
   /** Adds what an earlier process of this daemon has recorded. */
-  restore(services: readonly string[]): void {
-    for (const service of services) this.observed.add(service);
+  restore({ delimitingServices, closeDelimitedRoutes }: DelimiterEvidence): void {
+    for (const service of delimitingServices) this.observed.add(service);
+    for (const entry of closeDelimitedRoutes) this.addCloseDelimited(entry);
   }
 
   /** Replaces what other daemons have reported. */
-  setReported(services: Iterable<string>): void {
+  setReported(reports: readonly DelimiterEvidence[]): void {
     this.reported.clear();
-    for (const service of services) this.reported.add(service);
+    this.reportedCloseDelimited.clear();
+    for (const { delimitingServices, closeDelimitedRoutes } of reports) {
+      for (const service of delimitingServices) this.reported.add(service);
+      for (const entry of closeDelimitedRoutes) this.reportedCloseDelimited.add(keyOf(entry, RESPONSES));
+    }
   }
 
   /**
@@ -62,27 +89,60 @@
   ): boolean {
     if (delimiter === 'no-body') return false;
     const isError = status >= MIN_ERROR_STATUS;
-    const key = `${service} ${route} ${isError ? 'errors' : 'responses'}`;
+    const key = keyOf({ service, route }, isError ? ERRORS : RESPONSES);
     if (delimiter !== 'close') {
-      if (!isError) this.observe(service);
+      if (!isError) this.observe(service, key);
       this.consecutive.delete(key);
       record(this.delimitingStarts, key, start);
       return false;
     }
     const before = this.consecutive.get(key) ?? 0;
     record(this.consecutive, key, before + 1);
-    const isTrusted = before >= CONSECUTIVE_TO_TRUST && this.delimitingStarts.get(key) !== start;
-    const isDelimiting = this.observed.has(service) || this.reported.has(service);
-    return isDelimiting && !isTrusted;
+    if (this.delimitingStarts.get(key) === start) return this.isDelimiting(service);
+    const hasEnough = before >= CONSECUTIVE_TO_TRUST;
+    if (hasEnough && !isError) this.observeCloseDelimited({ service, route }, key);
+    return !hasEnough && !this.isCloseDelimited(key) && this.isDelimiting(service);
+  }
+
+  private isDelimiting(service: string): boolean {
+    return this.observed.has(service) || this.reported.has(service);
   }
 
-  private observe(service: string): void {
-    if (this.observed.has(service)) return;
+  /** What other daemons report of the route counts until this one has received another response there. */
+  private isCloseDelimited(key: string): boolean {
+    if (this.closeDelimited.has(key)) return true;
+    return this.reportedCloseDelimited.has(key) && !this.delimitingStarts.has(key);
+  }
+
+  private observe(service: string, key: string): void {
+    const isNew = !this.observed.has(service);
     this.observed.add(service);
-    this.onObserved(service);
+    const isContradicted = this.closeDelimited.delete(key);
+    if (isNew || isContradicted) this.onEvidence();
+  }
+
+  private observeCloseDelimited(entry: CloseDelimitedRoute, key: string): void {
+    if (!this.isDelimiting(entry.service) || this.closeDelimited.has(key)) return;
+    this.addCloseDelimited(entry);
+    this.onEvidence();
+  }
+
+  private addCloseDelimited(entry: CloseDelimitedRoute): void {
+    this.closeDelimited.set(keyOf(entry, RESPONSES), entry);
+    const [oldest] = this.closeDelimited.keys();
+    if (this.closeDelimited.size > MAX_CLOSE_DELIMITED_ROUTES && oldest !== undefined)
+      this.closeDelimited.delete(oldest);
   }
 }
 
+/** Other code of an upstream often makes its errors, so that they are counted apart. */
+const RESPONSES = 'responses';
+const ERRORS = 'errors';
+
+function keyOf({ service, route }: CloseDelimitedRoute, kind: typeof RESPONSES | typeof ERRORS): string {
+  return `${service} ${route} ${kind}`;
+}
+
 function record<Value>(values: Map<string, Value>, key: string, value: Value): void {
   values.set(key, value);
   const [oldest] = values.keys();
--- a/packages/calls/src/index.ts
+++ b/packages/calls/src/index.ts
@@ -55,7 +55,7 @@
 } from './upstreamDispatcher.js';
 export { isConnectFailure } from './connectFailure.js';
 export { UpstreamConnections } from './upstreamConnections.js';
-export { DelimiterHistory } from './delimiterHistory.js';
+export { DelimiterHistory, MAX_CLOSE_DELIMITED_ROUTES } from './delimiterHistory.js';
 export { isBodyless } from './responseDelimiter.js';
 export { type ResponseDelimiter } from './responseDelimiter.js';
 export { ResponseMismatch, type UpstreamResponse, type UpstreamRequest } from './upstreamExchange.js';
--- a/packages/daemon/src/daemonCore.ts
+++ b/packages/daemon/src/daemonCore.ts
@@ -111,8 +111,8 @@
   /** When the configuration was last known to be the newest; absent if nothing depends on it. */
   readonly freshness?: Freshness;
   readonly quotas?: QuotaHandlers;
-  /** Called at the first response of a service that has a length or chunks. */
-  readonly onDelimitingService?: (service: string) => void;
+  /** Called when what is known of how services delimit their responses changes. */
+  readonly onDelimiterEvidence?: () => void;
   /** Time until this daemon stops waiting for requests in flight, ms; infinite if absent. */
   readonly timeLeftMs?: () => number;
   /** Called with the configuration that a peer reports; the peer is named by its peer protocol address. */
@@ -210,7 +210,7 @@
     this.decisionTrace = new DecisionTrace(clock, requests.write);
     this.chains = new CallChains(clock, random, this.decisionTrace);
     this.attempts = new AttemptRegistry(clock, options.attemptRetentionMs);
-    this.delimiters = new DelimiterHistory(options.onDelimitingService);
+    this.delimiters = new DelimiterHistory(options.onDelimiterEvidence);
     this.peers = new Peers(clock, isPartitioned, pacer, address => this.forwarder.notices.linkEnded(address));
     this.router = new Router({
       clock,
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -301,7 +301,7 @@
       freshness: this.organisations.freshness,
       quotas: this.organisations.quotaHandlers,
       onPeerConfiguration: (reported, peer) => this.updater.handleAnnouncement(reported, peer),
-      onDelimitingService: () => void this.discovery.record(),
+      onDelimiterEvidence: () => void this.discovery.record(),
       timeLeftMs: () => this.shutdown.timeLeftMs,
     });
   }
@@ -352,19 +352,18 @@
       persisted: () => ({
         departures: this.upstreams.departures,
         upstreams: this.upstreams.identifiedUpstreams,
-        delimitingServices: this.core.delimiters.delimitingServices,
+        ...this.core.delimiters.evidence,
       }),
       onRestore: recorded => this.restore(recorded),
-      onRows: rows =>
-        this.core.delimiters.setReported(rows.flatMap(({ delimitingServices }) => delimitingServices)),
+      onRows: rows => this.core.delimiters.setReported(rows),
       log: (message, facts) => discoveryLog.info(facts, `Meeting: ${message}`),
     });
   }
 
   /** Restores the upstreams, their shutdowns, and how they delimit responses, as an earlier process of this daemon recorded them. */
-  private restore({ departures, upstreams, delimitingServices }: PersistedState): void {
+  private restore({ departures, upstreams, ...evidence }: PersistedState): void {
     const { settings, clock, log, platformAdapter: adapter } = this.options;
-    this.core.delimiters.restore(delimitingServices);
+    this.core.delimiters.restore(evidence);
     for (const { instanceId, born } of departures) this.upstreams.markLeaving(instanceId, born);
     void restoreUpstreams(upstreams, {
       clock,
--- a/packages/membership/src/peerDiscovery.ts
+++ b/packages/membership/src/peerDiscovery.ts
@@ -52,10 +52,12 @@
   readonly upstreams: readonly KnownUpstream[];
   /** Services whose local upstreams have sent responses with a length or in chunks: another response of theirs may be truncated. */
   readonly delimitingServices: readonly string[];
+  /** Routes on which their responses have neither, by service and name of the route. */
+  readonly closeDelimitedRoutes: readonly { readonly service: string; readonly route: string }[];
 }
 
 /** The part of a row that a later process of the daemon restores. */
-export type PersistedState = Pick<DiscoveryRow, 'departures' | 'upstreams' | 'delimitingServices'>;
+export type PersistedState = Omit<DiscoveryRow, 'address' | 'gossipAddress'>;
 
 /** A row with its version in the table. */
 export interface ListedRow extends DiscoveryRow {
--- a/tests/delimiterHistory.spec.ts
+++ b/tests/delimiterHistory.spec.ts
@@ -3,6 +3,8 @@
 
 const PROCESS = { service: 'receiving', start: 's1' };
 const ROUTE = 'confirm';
+/** More than are needed to trust a route. */
+const MANY = 40;
 
 describe('a response that only the end of its connection delimits', () => {
   let history: DelimiterHistory;
@@ -29,26 +31,63 @@
   // Guards against parts that look whole at a daemon which has received no other response of the service yet.
   describe('may be a part if the service has sent lengths', () => {
     it('to an earlier process of the daemon', () => {
-      history.restore(['receiving']);
+      history.restore({ delimitingServices: ['receiving'], closeDelimitedRoutes: [] });
       expect(isSuspect(200)).to.equal(true);
-      expect(history.delimitingServices).to.deep.equal(['receiving']);
+      expect(history.evidence.delimitingServices).to.deep.equal(['receiving']);
     });
 
     it('to another daemon, for as long as that reports so', () => {
-      history.setReported(['receiving']);
+      history.setReported([{ delimitingServices: ['receiving'], closeDelimitedRoutes: [] }]);
       expect(isSuspect(200)).to.equal(true);
-      expect(history.delimitingServices).to.deep.equal([]);
+      expect(history.evidence.delimitingServices).to.deep.equal([]);
       history.setReported([]);
       expect(isSuspect(200)).to.equal(false);
     });
   });
 
   it('leads to one report of a service that otherwise sends lengths', () => {
-    const observed: string[] = [];
-    history = new DelimiterHistory(service => void observed.push(service));
+    const observed: (readonly string[])[] = [];
+    history = new DelimiterHistory(() => void observed.push(history.evidence.delimitingServices));
     for (const delimiter of ['length', 'chunks', 'close'] as const)
       history.isSuspect(PROCESS, ROUTE, 200, delimiter);
-    expect(observed).to.deep.equal(['receiving']);
+    expect(observed).to.deep.equal([['receiving']]);
+  });
+
+  // Guards against whole responses that are refused again after each start of a daemon, and at each other daemon.
+  describe('is believed on a route on which many in a row had neither length nor chunks', () => {
+    const EXPORT = 'export';
+    const NEXT = { service: 'receiving', start: 's2' };
+    let reports: number;
+
+    beforeEach(() => {
+      reports = 0;
+      history = new DelimiterHistory(() => void reports++);
+      history.isSuspect(PROCESS, ROUTE, 200, 'length');
+      for (let i = 0; i < MANY; i++) isSuspect(200, EXPORT);
+    });
+
+    const nextIsSuspect = (next: DelimiterHistory, route: string, status = 200) =>
+      next.isSuspect(NEXT, route, status, 'close');
+
+    it('by the daemon itself, which reports it once', () => {
+      expect(isSuspect(200, EXPORT)).to.equal(false);
+      expect(reports).to.equal(2);
+    });
+
+    for (const [name, take] of Object.entries({
+      'the next process of the daemon': (next: DelimiterHistory) => next.restore(history.evidence),
+      'another daemon': (next: DelimiterHistory) => next.setReported([history.evidence]),
+    }))
+      it(`by ${name}, there and for no other response`, () => {
+        const next = new DelimiterHistory();
+        take(next);
+        expect(nextIsSuspect(next, EXPORT)).to.equal(false);
+        expect(nextIsSuspect(next, EXPORT, 404)).to.equal(true);
+        expect(nextIsSuspect(next, ROUTE)).to.equal(true);
+        next.isSuspect(NEXT, EXPORT, 200, 'length');
+        expect(nextIsSuspect(next, EXPORT)).to.equal(true);
+        expect(next.evidence.closeDelimitedRoutes).to.deep.equal([]);
+      });
   });
 
   // Guards against whole responses that are refused since the errors of a service have lengths.
--- a/tests/peerDiscovery.spec.ts
+++ b/tests/peerDiscovery.spec.ts
@@ -15,6 +15,7 @@
   departures: [DEPARTURE],
   upstreams: [],
   delimitingServices: ['orders'],
+  closeDelimitedRoutes: [{ service: 'orders', route: 'export' }],
 };
 
 /** The part of a membership that peer discovery uses, without any other member. */
@@ -33,7 +34,7 @@
 
   beforeEach(() => {
     rows = [RECORDED];
-    persisted = { departures: [], upstreams: [], delimitingServices: [] };
+    persisted = { departures: [], upstreams: [], delimitingServices: [], closeDelimitedRoutes: [] };
     const readAllowed = new Promise<void>(resolve => (allowRead = resolve));
     discovery = new PeerDiscovery({
       clock: new ManualClock(),
@@ -72,6 +73,7 @@
     await discovery.firstRoundDone;
     expect(rows[0]?.departures).to.deep.equal([DEPARTURE]);
     expect(rows[0]?.delimitingServices).to.deep.equal(['orders']);
+    expect(rows[0]?.closeDelimitedRoutes).to.deep.equal(RECORDED.closeDelimitedRoutes);
   });
 
   it('does not prevent a stop in the middle of a round', async () => {
--- a/tests/responseEnds.spec.ts
+++ b/tests/responseEnds.spec.ts
@@ -30,6 +30,10 @@
 
 /** Of a route on which the upstream that otherwise sends lengths sends none. */
 const UNDELIMITED_HOST = 'undelimited.example';
+/** Of another such route, on which it completes all responses. */
+const EXPORT_HOST = 'export.example';
+/** More than show that the upstream means to send none there. */
+const MANY = 40;
 
 /** A request's path tells the upstream how to respond. */
 const pathOf = (framing: Framing, bytes: number, half: Half): string =>
@@ -92,12 +96,9 @@
         ...(['idempotent', 'non_idempotent'] as const).map(kind =>
           routeTo('receiving', { name: kind, host: `${kind}.example`, kind, timeoutS: 8 }),
         ),
-        routeTo('receiving', {
-          name: 'undelimited',
-          host: UNDELIMITED_HOST,
-          kind: 'non_idempotent',
-          timeoutS: 8,
-        }),
+        ...[UNDELIMITED_HOST, EXPORT_HOST].map(host =>
+          routeTo('receiving', { name: host, host, kind: 'non_idempotent', timeoutS: 8 }),
+        ),
         ...(['idempotent', 'non_idempotent'] as const).map(kind =>
           routeTo('history', { name: `plain-${kind}`, host: `plain-${kind}.example`, kind, timeoutS: 8 }),
         ),
@@ -252,6 +253,20 @@
     const { id, exchange } = send(1, { host: HOSTS[1]!, path: pathOf('close', SHORT_BYTES, 'ends') });
     expect(isPart(id, SHORT_BYTES, await exchange.ended)).to.equal(false);
   });
+
+  // Guards against whole responses that are refused again after each start of a daemon.
+  it('is believed by the next process of a daemon on a route on which no response had a length', async () => {
+    await sendOrdinary();
+    const path = pathOf('close', SHORT_BYTES, 'continues');
+    const exportOnce = () => send(1, { host: EXPORT_HOST, path }).exchange.ended;
+    for (let i = 0; i < MANY; i++) await exportOnce();
+    await sleep(STABLE_MS);
+    await fleet.nodes[1]!.restart();
+    await fleet.waitUntilConverged();
+    await sleep(STABLE_MS);
+    const { status, looksWhole, body } = await exportOnce();
+    expect([status, looksWhole, body.length]).to.deep.equal([200, true, SHORT_BYTES]);
+  });
   for (const length of ['9007199254740993', '9223372036854775807', '18446744073709551615'])
     // Guards against a daemon, or a link with all of its calls, that ends by a length which it cannot encode or decode.
     it(`ends neither daemon nor link where it states ${length} bytes`, async () => {
