--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -355,7 +355,8 @@
         ...this.core.delimiters.evidence,
       }),
       onRestore: recorded => this.restore(recorded),
-      onRows: rows => this.core.delimiters.setReported(rows),
+      onRows: rows =>
+        this.core.delimiters.setReported(rows.flatMap(({ delimitingServices }) => delimitingServices)),
       log: (message, facts) => discoveryLog.info(facts, `Meeting: ${message}`),
     });
   }
