Test odd and contradictory delimiters of responses

Cause: the table of ends had no row for header fields that are odd or contradict each other, such as two lengths, an empty one, or a length beside chunks: which of them is taken for the delimiter decides whether a part looks whole.

--- a/tests/responseEnds.spec.ts
+++ b/tests/responseEnds.spec.ts
@@ -282,6 +282,27 @@
       await sendOrdinary();
     });
 
+  // Guards against odd or contradictory header fields that are taken for a delimiter.
+  for (const fields of [
+    ['Content-Length:'],
+    ['Content-Length: 0x1388'],
+    ['Content-Length: +5000'],
+    ['Content-Length: -1'],
+    ['Content-Length: 5000, 10000'],
+    ['Content-Length: 5000', 'Content-Length: 10000'],
+    ['Content-Length: 10000', 'Transfer-Encoding: gzip'],
+    ['Content-Length: 5000', 'Transfer-Encoding: chunked'],
+    ['Transfer-Encoding: xchunked'],
+    ['Transfer-Encoding: chunked', 'Transfer-Encoding: identity'],
+    ['Transfer-Encoding:'],
+    ['Content-Length : 5000'],
+  ])
+    it(`does not show by "${fields.join('" and "')}"`, async () => {
+      await sendOrdinary();
+      const parts = await partsOf(pathOfField(fields.join('\r\n'), SHORT_BYTES), SHORT_BYTES);
+      expect(parts.length).to.equal(0);
+    });
+
   // Guards against the end of a connection that the kernel closed for an upstream that is gone, also after it has announced that it leaves.
   for (const state of ['ready', 'leaving'] as const)
     for (const bytes of [SHORT_BYTES, LONG_BYTES])
