Stop all daemons one after the other in the soak of planned stops

Cause: the soak stopped at most two of its four daemons at the same time. Operators roll through all of them, so that for a while every daemon that a caller can reach is stopping.

Change: every fourth round stops all daemons, up to 1.2 s apart.

--- a/tests/plannedStopSoak.spec.ts
+++ b/tests/plannedStopSoak.spec.ts
@@ -18,6 +18,8 @@
 const ROUND_PAUSE_MS = 400;
 /** Longest time from SIGTERM to the next one, ms: less than any stop takes. */
 const MAX_REPEAT_MS = 2000;
+/** Longest time between the stops of a roll, in which all daemons stop at the same time for a while, ms. */
+const MAX_ROLL_GAP_MS = 1200;
 const GRACE_MS = GRACE_S * 1000;
 /** The callers and the daemons don't measure a deadline from the same moment, ms. */
 const DEADLINE_TOLERANCE_MS = 150;
@@ -125,7 +127,12 @@
     const suspendMs = round % 4 === 3 ? 300 + random() * 1000 : 0;
     const first = Math.floor(random() * VMS.length);
     const stops = [stop(first, suspendMs)];
-    if (round % 2 === 1) {
+    if (round % 4 === 2) {
+      for (let others = 1; others < VMS.length; others++) {
+        await sleep(random() * MAX_ROLL_GAP_MS);
+        stops.push(stop((first + others) % VMS.length, 0));
+      }
+    } else if (round % 2 === 1) {
       await sleep(random() * 1500);
       stops.push(stop((first + 1 + Math.floor(random() * (VMS.length - 1))) % VMS.length, 0));
     }
