Show what has not ended when the soak of ends takes too long

Change: when daemons or callers have not ended 45 s after the last fault, the test fails with the outstanding requests, the state of each daemon and its open polls.

--- a/tests/responseEndSoak.spec.ts
+++ b/tests/responseEndSoak.spec.ts
@@ -15,6 +15,8 @@
 const SEED = process.env.CLEATQUAY_SEED ?? '1';
 const DURATION_MS = Number(process.env.CLEATQUAY_SECONDS ?? 20) * 1000;
 const CALLERS = 24;
+/** Time after the last fault in which all daemons are back and all callers have ended; a request ends within 3 s. */
+const END_MS = 45_000;
 const MIN_REQUESTS = 100;
 const MIN_WHOLE_RATIO = 0.3;
 const MAX_BODY_BYTES = 300_000;
@@ -40,6 +42,8 @@
   const pick = <T>(all: readonly T[]): T => all[Math.floor(random() * all.length)]!;
   let fleet: ProcessFleet;
   let isOver = false;
+  /** Requests without a response yet, with the address that they were sent to. */
+  const outstanding = new Map<string, string>();
 
   /** Responds in two halves, or breaks off between them. The path has the number of bytes. */
   const respond = (socket: Socket, id: string, path: string, isClosing: boolean) => {
@@ -103,6 +107,7 @@
 
   const send = async (agent: Agent, id: string, bytes: number): Promise<KeptResponse> => {
     const { callerAddress } = pick(fleet.nodes);
+    outstanding.set(id, callerAddress);
     const kind = pick(KINDS);
     const host = `${pick(SERVICES)}-${kind}.example`;
     const method = kind === 'idempotent' ? 'GET' : 'POST';
@@ -122,6 +127,7 @@
       const id = `c${String(caller)}x${String(++counts.sent)}`;
       const bytes = MIN_BODY_BYTES + Math.floor(random() ** 3 * MAX_BODY_BYTES);
       const { status, text, looksWhole } = await send(agent, id, bytes);
+      outstanding.delete(id);
       if (status !== 200) await sleep(20);
       if (status !== 200 || !looksWhole) continue;
       if (text === bodyOf(id, bytes)) counts.whole++;
@@ -145,6 +151,12 @@
     await node.restart();
   };
 
+  /** What has not ended in time. */
+  const describeEnd = async (): Promise<string> => {
+    const daemons = await Promise.all(fleet.nodes.map(node => node.describe()));
+    return `Not over in time: ${JSON.stringify([...outstanding])}, ${daemons.join(', ')}`;
+  };
+
   // Guards against parts that look whole, whichever process ended, and whole responses that are lost in calm.
   it('are never a part that looks whole', async () => {
     const callers = Promise.all(Array.from({ length: CALLERS }, (_, i) => runCaller(i)));
@@ -159,9 +171,12 @@
         disturb(node).finally(() => busy.delete(node)),
       );
     }
-    await Promise.all(busy.values());
-    isOver = true;
-    const results = await callers;
+    const ended = Promise.all(busy.values()).then(() => {
+      isOver = true;
+      return callers;
+    });
+    const results = await Promise.race([ended, sleep(END_MS, undefined, { ref: false })]);
+    if (!results) throw new Error(await describeEnd());
     const sent = results.reduce((sum, result) => sum + result.sent, 0);
     const whole = results.reduce((sum, result) => sum + result.whole, 0);
     process.stdout.write(`      seed ${SEED}: ${String(sent)} requests, ${String(whole)} whole\n`);
