Log each close of a caller's connection with requests in flight

Cause: a request on a kept connection got no response, and no line said who had closed its connection.

The code that decides on a close records its reason; other closes are told apart by the state of the socket. A request costs one field write and the methods of an object that was a literal before; a connection costs one listener. No decision is changed.

--- a/packages/daemon/src/callerGateway.ts
+++ b/packages/daemon/src/callerGateway.ts
@@ -21,6 +21,7 @@
 } from './callerResponse.js';
 import { disconnectSignalOf } from './callerDisconnect.js';
 import { announceClose } from './closeAnnouncements.js';
+import { type CloseLog } from './closeLog.js';
 import { OpenResponses } from './openResponses.js';
 import { CallerBody, type BodyLimits, hasBody } from './callerBody.js';
 import { gatewaySettings } from './gatewaySettings.js';
@@ -49,6 +50,7 @@
   readonly clock: Clock;
   readonly ingress: Ingress;
   readonly metrics: Metrics;
+  readonly closeLog: CloseLog;
   readonly unreadBodies: UnreadBodies;
   readonly pipelined: PipelinedRequests;
   /** Whether requests have to carry an API key. */
@@ -62,8 +64,9 @@
 
 /** The moleculer service of the caller API. */
 export function callerGateway(options: CallerGatewayOptions): ServiceSchema {
-  const { clock, metrics } = options;
+  const { clock, metrics, closeLog } = options;
   const openResponses = new OpenResponses({
+    closeLog,
     onCut: () => metrics.responseCut(),
     onDeliveryEnd: (_request, end) => metrics.deliveryEnded(end),
   });
@@ -76,7 +79,7 @@
     // Node.js passes on the rest of what it has read of a connection that was closed.
     if (request.socket.destroyed) return;
     const disconnect = disconnectSignalOf(request, response);
-    openResponses.add(request, response);
+    const exchange = openResponses.add(request, response);
     if (hasBody(request)) options.unreadBodies.follow(request, response, BODY_LIMITS);
     const recordEnd = options.metrics.requestStarted();
     const shutdownPhase = options.shutdownPhase();
@@ -90,6 +93,7 @@
       if (shutdownPhase === 'ended' || (shutdownPhase === 'refusing' && parsed.parent === undefined))
         return refuseDuringShutdown(parsed, response);
       const body = hasBody(request) ? new CallerBody(clock, request, response, BODY_LIMITS) : EMPTY_BODY;
+      exchange.isPassedOn = true;
       const parts = options.ingress.handle(parsed, body, disconnect.signal);
       const refusal = await writeResponseParts(response, parts, writer);
       recordEnd(parsed.service, refusal);
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -30,6 +30,7 @@
 import { FaultHooks } from './faultHooks.js';
 import { Metrics } from './metrics.js';
 import { operatorGateway } from './operatorGateway.js';
+import { CloseLog } from './closeLog.js';
 import { PipelinedRequests } from './pipelinedRequests.js';
 import { UnreadBodies } from './unreadBodies.js';
 import { OperatorRequests } from './operatorRequests.js';
@@ -86,6 +87,7 @@
   private readonly organisations: OrganisationServices;
   private callerAddress = '';
   private servers: readonly Server[] = [];
+  private readonly closeLog: CloseLog;
   private shutdownPhase: ShutdownPhase | undefined;
 
   private constructor(private readonly options: DaemonOptions) {
@@ -104,6 +106,10 @@
     this.store = settings.platform === undefined ? undefined : new HttpStore(settings.platform);
     this.broker = createBroker();
     this.scheduler = new RequestScheduler(clock, () => false);
+    this.closeLog = new CloseLog({
+      lagMs: () => this.scheduler.waitMs(),
+      log: (message, facts) => log.info(facts, message),
+    });
   }
 
   /** Starts a daemon, which serves requests once the promise resolves. */
@@ -166,6 +172,7 @@
   private async closeConnections(): Promise<void> {
     for (const server of this.servers) server.close();
     await flushResponses(this.options.clock, () => this.inFlight.size > 0);
+    this.closeLog.endDrain();
     for (const server of this.servers) server.closeAllConnections();
   }
 
@@ -303,6 +310,7 @@
         clock,
         ingress: this.ingress,
         metrics: this.metrics,
+        closeLog: this.closeLog,
         unreadBodies: new UnreadBodies({ clock, metrics: this.metrics, log: warn }),
         pipelined: new PipelinedRequests(warn),
         needsKeys: () => this.organisations.needsKeys,
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -6,6 +6,7 @@
 export { type CallerDialect, RelayGateway, type RelayGatewayOptions } from './relayGateway.js';
 export { ResponseCollector } from './responseCollector.js';
 export { UnreadBodies } from './unreadBodies.js';
+export { CloseLog } from './closeLog.js';
 export { PipelinedRequests } from './pipelinedRequests.js';
 export { LogOutput } from './logOutput.js';
 export { PressureLog } from './pressureLog.js';
--- a/packages/daemon/src/openResponses.ts
+++ b/packages/daemon/src/openResponses.ts
@@ -3,11 +3,23 @@
 import { type IncomingMessage, type ServerResponse } from 'node:http';
 import { type Socket } from 'node:net';
 import { type Duplex } from 'node:stream';
+import { type CloseLog, type RequestProgress, type TrackedRequest, noteClose } from './closeLog.js';
 import { type ResponseDelivery, deliveryOf } from './responseDelivery.js';
 
-interface Exchange {
-  readonly request: IncomingMessage;
-  readonly response: ServerResponse;
+/** A request and its response. */
+export class Exchange implements TrackedRequest {
+  /** Set when the request leaves the gateway, whose ingress may run it from then on. */
+  isPassedOn = false;
+
+  constructor(
+    readonly request: IncomingMessage,
+    readonly response: ServerResponse,
+  ) {}
+
+  get progress(): RequestProgress {
+    if (this.response.headersSent) return 'responding';
+    return this.isPassedOn ? 'passed-on' : 'waiting';
+  }
 }
 
 /** A response that ended before its body was complete. */
@@ -27,6 +39,7 @@
 export interface OpenResponsesOptions {
   readonly onDeliveryEnd: (request: IncomingMessage, end: DeliveryEnd) => void;
   readonly onCut: (request: IncomingMessage, facts: CutFacts) => void;
+  readonly closeLog: CloseLog;
 }
 
 /** Outstanding responses by connection. */
@@ -36,15 +49,16 @@
   constructor(private readonly options: OpenResponsesOptions) {}
 
   /** Counts a response as outstanding until it is closed. */
-  add(request: IncomingMessage, response: ServerResponse): void {
+  add(request: IncomingMessage, response: ServerResponse): Exchange {
     const exchanges = this.exchangesOf(request.socket);
-    const exchange = { request, response };
+    const exchange = new Exchange(request, response);
     exchanges.add(exchange);
     response.once('close', () => {
       exchanges.delete(exchange);
       const delivery = deliveryOf(response);
       if (delivery) this.options.onDeliveryEnd(request, { ...delivery, isWhole: response.writableFinished });
     });
+    return exchange;
   }
 
   /**
@@ -64,11 +78,13 @@
     const { req: request } = response;
     const { bytesWritten } = request.socket;
     this.options.onCut(request, { bytesWritten, delimiter: deliveryOf(response)?.delimiter });
+    noteClose(request.socket, 'cutResponse');
     response.destroy();
   }
 
   /** Closes a connection whose request is invalid, and cuts a response that is being sent on it. */
   closeConnection(socket: Socket): void {
+    noteClose(socket, 'invalidInput');
     const current = [...(this.exchanges.get(socket) ?? [])].find(
       ({ response }) => response.socket === socket && response.headersSent,
     );
@@ -76,11 +92,12 @@
     else socket.destroy();
   }
 
-  private exchangesOf(socket: Duplex): Set<Exchange> {
+  private exchangesOf(socket: Socket): Set<Exchange> {
     const known = this.exchanges.get(socket);
     if (known) return known;
     const exchanges = new Set<Exchange>();
     this.exchanges.set(socket, exchanges);
+    this.options.closeLog.follow(socket, exchanges);
     return exchanges;
   }
 }
--- a/packages/daemon/src/parserErrors.ts
+++ b/packages/daemon/src/parserErrors.ts
@@ -2,6 +2,7 @@
 import { type Server } from 'node:http';
 import { type Socket } from 'node:net';
 import { handleParserError } from './callerBody.js';
+import { noteClose } from './closeLog.js';
 import { InvalidInput } from './invalidInput.js';
 import { type OpenResponses } from './openResponses.js';
 
@@ -10,6 +11,10 @@
   const invalidInput = new InvalidInput(openResponses);
   server.on('clientError', (error, socket) => {
     const close = () => openResponses.closeConnection(socket as Socket);
-    invalidInput.handle(error, socket, () => handleParserError(error, socket, close));
+    invalidInput.handle(error, socket, () => {
+      // The errors of a socket, and the end of its receiving side within a message, are errors of the parser, too.
+      if (!socket.errored && !socket.readableEnded) noteClose(socket, 'invalidInput');
+      handleParserError(error, socket, close);
+    });
   });
 }
--- a/packages/daemon/src/pipelinedRequests.ts
+++ b/packages/daemon/src/pipelinedRequests.ts
@@ -2,6 +2,7 @@
 import { type IncomingMessage, type ServerResponse } from 'node:http';
 import { type Socket } from 'node:net';
 import { type LogLine, boundedLog } from './boundedLog.js';
+import { noteClose } from './closeLog.js';
 
 /** Requests of one connection that are served at the same time. Their responses are sent in order, so that more would gain little. */
 const MAX_SERVED = 16;
@@ -105,6 +106,7 @@
     this.waitingBytes -= largest.waitingBytes;
     const facts = { requests: largest.waiting.size, bytes: largest.waitingBytes };
     this.log('Callers: Closed a connection, since its pipelined requests took too much memory.', facts);
+    noteClose(largest.socket, 'pipelinedRequests');
     // An ordinary end could complete a response that is being sent.
     largest.socket.resetAndDestroy();
   }
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -40,6 +40,7 @@
 import { operatorGateway } from './operatorGateway.js';
 import { OperatorRequests } from './operatorRequests.js';
 import { createBroker } from './createBroker.js';
+import { CloseLog } from './closeLog.js';
 import { ResponseEndLog } from './responseEndLog.js';
 import { flushResponses } from './responseFlush.js';
 import { type CallerDialect, RelayGateway } from './relayGateway.js';
@@ -113,6 +114,7 @@
   /** Whether the list of daemons was read from the platform: the first discovery round has succeeded. */
   private hasFleetView = false;
   private readonly shutdown: Drain;
+  private readonly closeLog: CloseLog;
 
   private constructor(private readonly options: RelayDaemonOptions) {
     const { settings, clock, random, log, platformAdapter: adapter } = options;
@@ -151,7 +153,11 @@
       outstanding: () => ({ inFlight: this.inFlight, running: this.core.running.size }),
       log: (message, facts) => log.info(facts, message),
     });
-    const { metrics } = this;
+    this.closeLog = new CloseLog({
+      lagMs: () => this.pressure.lagMs,
+      log: (message, facts) => log.info(facts, message),
+    });
+    const { metrics, closeLog } = this;
     const responseEnds = new ResponseEndLog({ metrics, decisionTrace: () => this.core.decisionTrace });
     this.gateway = new RelayGateway({
       ingress: { handle: (...call) => this.ingress.handle(...call) },
@@ -162,6 +168,7 @@
       scheduler: this.scheduler,
       clock,
       onRequestStart: () => this.onRequestStart(),
+      closeLog,
       unreadBodies: new UnreadBodies({
         clock,
         metrics: this.metrics,
@@ -255,6 +262,7 @@
     await flushResponses(this.options.clock, () => this.inFlight > 0);
     this.shutdown.log('Daemon: Closing the connections of callers.');
     // Requests still in flight have used up the grace period; a server that closes would wait for them.
+    this.closeLog.endDrain();
     this.listeners.closeConnections();
     await this.broker.stop();
     await this.updater[Symbol.asyncDispose]();
--- a/packages/daemon/src/relayGateway.ts
+++ b/packages/daemon/src/relayGateway.ts
@@ -22,6 +22,7 @@
 import { disconnectSignalOf } from './callerDisconnect.js';
 import { announceClose } from './closeAnnouncements.js';
 import { CallerBody, bodyTooLarge, hasBody } from './callerBody.js';
+import { type CloseLog } from './closeLog.js';
 import { type CutFacts, type DeliveryEnd, OpenResponses } from './openResponses.js';
 import { ResponseCollector } from './responseCollector.js';
 import { whenEarlierEnded } from './pipelineOrder.js';
@@ -70,6 +71,7 @@
   readonly onResponseCut: (requestId: string, facts: CutFacts) => void;
   /** Called when the delivery of an upstream's response has ended. */
   readonly onDeliveryEnd: (requestId: string, end: DeliveryEnd) => void;
+  readonly closeLog: CloseLog;
   readonly unreadBodies: UnreadBodies;
   readonly pipelined: PipelinedRequests;
 }
@@ -83,9 +85,10 @@
   private hasEverNeededKeys = false;
 
   constructor(private readonly options: RelayGatewayOptions) {
-    const { onResponseCut, onDeliveryEnd } = options;
+    const { onResponseCut, onDeliveryEnd, closeLog } = options;
     const { strippedHeaders, credentialsHeader, responseFormat, requestId } = options.dialect;
     this.openResponses = new OpenResponses({
+      closeLog,
       onCut: (request, facts) => onResponseCut(requestId(request), facts),
       onDeliveryEnd: (request, end) => onDeliveryEnd(requestId(request), end),
     });
@@ -124,7 +127,7 @@
     if (request.socket.destroyed) return;
     const disconnect = disconnectSignalOf(request, response);
     const onRequestEnd = onRequestStart();
-    this.openResponses.add(request, response);
+    const exchange = this.openResponses.add(request, response);
     if (hasBody(request)) this.options.unreadBodies.follow(request, response, this.limits);
     let refusal: Refusal | undefined;
     // In flight until the last byte is sent: a daemon that shuts down closes its connections once no request is in flight.
@@ -137,6 +140,7 @@
       const wait = scheduler.acquire();
       const waitedMs = turnMs + (wait ? await wait : 0);
       if (disconnect.aborted) return;
+      exchange.isPassedOn = true;
       const callResponse = await ingress.handle(
         this.parseRequest(request, waitedMs),
         this.bodyOf(request, response),
--- a/packages/daemon/src/unreadBodies.ts
+++ b/packages/daemon/src/unreadBodies.ts
@@ -6,6 +6,7 @@
 import { type IncomingMessage, type ServerResponse } from 'node:http';
 import { type LogLine, boundedLog } from './boundedLog.js';
 import { type BodyLimits } from './callerBody.js';
+import { noteClose } from './closeLog.js';
 import { type Metrics } from './metrics.js';
 
 /** How often the limits of a rest are checked, ms. */
@@ -83,6 +84,7 @@
 
   private close(rest: Rest, bytes: number, forMs: number): void {
     this.rests.delete(rest);
+    noteClose(rest.request.socket, 'unreadBody');
     rest.request.socket.destroy();
     this.closed++;
     const facts = { path: rest.request.url, bytes, forMs: Math.round(forMs) };
