Measure what a daemon's processor time is spent on

Change: handlers of requests, calls, refusals, link frames and timers run through ProcessorTime, which attributes their time, and that of the promise continuations up to the end of the same event, to a use. One of eight events of each kind is measured and stands for the others. The start is measured as a whole; the rest up to process.cpuUsage() is what can't be told apart cheaply: HTTP parsing before a handler, responses of upstreams, membership, health checks. Garbage collection is read from the default metrics, which observe it already. Metric cleatquay_processor_ms{use}; a log line at the end of a drain, and for each 10 s with more than half of a processor.

--- a/packages/calls/src/frameStream.ts
+++ b/packages/calls/src/frameStream.ts
@@ -2,6 +2,7 @@
  * Length-prefixed frames over TCP: a length of four bytes, big-endian, followed by the encoded message. Compared with a
  * gRPC stream, they save an eighth of the CPU time of a call (docs/design/call-cost.md).
  */
+import { type MeasureWork, runUnmeasured } from '@cleatquay/clock';
 import { LinkFrame } from '@cleatquay/protocol';
 import { type Socket } from 'node:net';
 
@@ -32,10 +33,11 @@
   constructor(
     private readonly socket: Socket,
     private readonly events: FrameStreamEvents,
+    private readonly measure: MeasureWork = runUnmeasured,
   ) {
     socket.setNoDelay(true);
     socket.setKeepAlive(true, TCP_KEEP_ALIVE_DELAY_MS);
-    socket.on('data', (chunk: Buffer) => this.receive(chunk));
+    socket.on('data', (chunk: Buffer) => measure('links', () => this.receive(chunk)));
     socket.on('end', () => this.end('ended the link'));
     socket.on('error', error => this.end(`failed with a connection error: ${error.message}`));
     socket.on('close', () => this.end('closed the link'));
@@ -43,7 +45,10 @@
 
   /** Sends a frame; does nothing once the stream has ended. */
   write(frame: LinkFrame): void {
-    if (this.ended) return;
+    if (!this.ended) this.measure('links', () => this.writeFrame(frame));
+  }
+
+  private writeFrame(frame: LinkFrame): void {
     const message = LinkFrame.encode(frame).finish();
     if (message.length <= MAX_COPIED_MESSAGE_BYTES) {
       const bytes = Buffer.allocUnsafe(LENGTH_BYTES + message.length);
--- a/packages/calls/src/linkServer.ts
+++ b/packages/calls/src/linkServer.ts
@@ -1,9 +1,16 @@
 /** The server side of a link. */
-import { CALLER_DISCONNECTED, Cancellation, type Clock } from '@cleatquay/clock';
+import {
+  CALLER_DISCONNECTED,
+  Cancellation,
+  type Clock,
+  type MeasureWork,
+  runUnmeasured,
+} from '@cleatquay/clock';
 import {
   type AnswerPart,
   type ConfigurationAnswer,
   type ConfigurationRequest,
+  type LinkFrame,
   type LinkItem,
   type RequestHead,
   type RequestPart,
@@ -36,6 +43,8 @@
   readonly clock: Clock;
   readonly handle: CallHandler;
   readonly scheduler: RequestScheduler;
+  /** Runs the handlers of frames and of calls. */
+  readonly measure?: MeasureWork;
   /** Identifies this process to the peer; see `ProcessIdentity`. */
   readonly process: string;
   /** Returns what the peer's configuration lacks of this daemon's. */
@@ -49,16 +58,17 @@
   private readonly writer: FrameWriter;
   private readonly stream: FrameStream;
   private readonly transitDelays: TransitDelays;
+  private readonly measure: MeasureWork;
 
   constructor(
     socket: Socket,
     private readonly options: LinkServerOptions,
   ) {
     this.transitDelays = new TransitDelays(options.clock);
-    this.stream = new FrameStream(socket, {
-      onFrame: ({ items, sentAt }) => this.handleFrame(items, this.transitDelays.measure(sentAt)),
-      onEnd: () => this.cancelCalls(),
-    });
+    this.measure = options.measure ?? runUnmeasured;
+    const onFrame = ({ items, sentAt }: LinkFrame) =>
+      this.handleFrame(items, this.transitDelays.measure(sentAt));
+    this.stream = new FrameStream(socket, { onFrame, onEnd: () => this.cancelCalls() }, this.measure);
     this.writer = new FrameWriter(items => this.stream.write({ items, sentAt: 0 }));
   }
 
@@ -99,7 +109,10 @@
     };
     call.requestParts?.push(first);
     this.calls.set(number, call);
-    void this.processCall(number, call, first, head).finally(() => this.calls.delete(number));
+    this.measure(
+      'calls',
+      () => void this.processCall(number, call, first, head).finally(() => this.calls.delete(number)),
+    );
   }
 
   /**
--- a/packages/calls/src/peers.ts
+++ b/packages/calls/src/peers.ts
@@ -1,5 +1,12 @@
 /** Connections to other daemons, opened on first use: a link to each for calls, and a gRPC client for rare requests. */
-import { type CancelSignal, Cancellation, type Clock, NO_LONGER_NEEDED, type Timer } from '@cleatquay/clock';
+import {
+  type CancelSignal,
+  Cancellation,
+  type Clock,
+  type MeasureWork,
+  NO_LONGER_NEEDED,
+  type Timer,
+} from '@cleatquay/clock';
 import {
   type ConfigurationAnswer,
   type ConfigurationRequest,
@@ -56,6 +63,8 @@
     private readonly pacer: StreamPacer,
     /** Called with the address of a peer when the link to it has ended. */
     private readonly onLinkLost: (address: string) => void = () => undefined,
+    /** Runs the handlers of links. */
+    private readonly measure?: MeasureWork,
   ) {}
 
   /** Makes one call to a peer. Rejects with ConnectionLoss if the call ends before its last part. */
@@ -208,6 +217,7 @@
       socket,
       () => this.onLinkEnd(address, link),
       this.pacer.memory,
+      this.measure,
     );
     const timer = this.clock.after(CONNECT_TIMEOUT_MS, () => link.fail('did not respond in time'));
     try {
--- a/packages/clock/src/clock.ts
+++ b/packages/clock/src/clock.ts
@@ -2,6 +2,7 @@
 
 import { uptime } from 'node:os';
 import { type CancelSignal } from './cancellation.js';
+import { type MeasureWork, runUnmeasured } from './measuredWork.js';
 
 /** A timer; disposing of it cancels it. */
 export type Timer = Disposable;
@@ -69,7 +70,11 @@
   private uptimeOffset: number;
   private uptimeState: 'unchecked' | 'trusted' | 'untrusted' = 'unchecked';
 
-  constructor(private readonly sources = MACHINE_TIME) {
+  constructor(
+    private readonly sources = MACHINE_TIME,
+    /** Runs the actions of timers. */
+    private readonly measure: MeasureWork = runUnmeasured,
+  ) {
     this.startedAt = sources.monotonic();
     this.dateOffset = sources.date() - this.startedAt;
     this.uptimeOffset = sources.uptime() - this.startedAt;
@@ -94,17 +99,17 @@
   }
 
   after(ms: number, action: () => void): Timer {
-    const timer = new SystemTimer(this.pendingTimers, this.now() + ms, coarseDelay(ms), action);
+    const timer = this.createTimer(ms, coarseDelay(ms), action);
     timer.timeout.unref();
     return timer;
   }
 
   sleep(ms: number, signal?: CancelSignal): Promise<void> {
-    return sleepOn(
-      (delayMs, action) => new SystemTimer(this.pendingTimers, this.now() + delayMs, delayMs, action),
-      ms,
-      signal,
-    );
+    return sleepOn((delayMs, action) => this.createTimer(delayMs, delayMs, action), ms, signal);
+  }
+
+  private createTimer(ms: number, delayMs: number, action: () => void): SystemTimer {
+    return new SystemTimer(this.pendingTimers, this.now() + ms, delayMs, action, this.measure);
   }
 
   private checkDateJump(dateOffset: number, monotonic: number): void {
@@ -151,6 +156,7 @@
     readonly dueAt: number,
     ms: number,
     private readonly action: () => void,
+    private readonly measure: MeasureWork,
   ) {
     this.timeout = setTimeout(fireTimer, ms, this);
     pendingTimers.add(this);
@@ -158,7 +164,7 @@
 
   fire(): void {
     this[Symbol.dispose]();
-    this.action();
+    this.measure('timers', this.action);
   }
 
   [Symbol.dispose](): void {
--- a/packages/daemon/src/daemonCore.ts
+++ b/packages/daemon/src/daemonCore.ts
@@ -26,7 +26,7 @@
   type UploadBudget,
   withUploadIntake,
 } from '@cleatquay/calls';
-import { type CancelSignal, type Clock, type Random } from '@cleatquay/clock';
+import { type CancelSignal, type Clock, type MeasureWork, type Random } from '@cleatquay/clock';
 import { Quarantine, type QuarantineTable } from '@cleatquay/quarantine';
 import { type Freshness, type Moment } from '@cleatquay/configuration';
 import {
@@ -78,6 +78,8 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Logger;
+  /** Runs the handlers of links. */
+  readonly measure?: MeasureWork;
   readonly upstreams: Pick<
     UpstreamsOptions,
     'protection' | 'heartbeatMs' | 'slowStart' | 'classes' | 'bounds' | 'checkAddress' | 'onDeparture'
@@ -211,7 +213,8 @@
     this.chains = new CallChains(clock, random, this.decisionTrace);
     this.attempts = new AttemptRegistry(clock, options.attemptRetentionMs);
     this.delimiters = new DelimiterHistory(options.onDelimiterEvidence);
-    this.peers = new Peers(clock, isPartitioned, pacer, address => this.forwarder.notices.linkEnded(address));
+    const onLinkLost = (address: string) => this.forwarder.notices.linkEnded(address);
+    this.peers = new Peers(clock, isPartitioned, pacer, onLinkLost, options.measure);
     this.router = new Router({
       clock,
       random,
@@ -277,6 +280,7 @@
       seal: request => requireCore(started).upstreamDispatcher.seal(request),
       configuration: options.createConfigurationResponse,
       scheduler: options.scheduler,
+      measure: options.measure,
     });
     const port = await server.listen(ip, innerPort);
     started.core = new DaemonCore(options, process, server, datagrams, `${ip}:${String(port)}`);
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -10,6 +10,7 @@
 export { PipelinedRequests } from './pipelinedRequests.js';
 export { LogOutput } from './logOutput.js';
 export { PressureLog } from './pressureLog.js';
+export { ProcessorTime, ProcessorTimeLog, SAMPLE_INTERVAL } from './processorTime.js';
 export { type RelaySettings } from './relaySettings.js';
 export { type Announcement } from './announcement.js';
 export { checkHealth } from './upstreamHealth.js';
--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -9,6 +9,9 @@
 /** Sampling interval of node's event loop delay, ms; the default of 10 ms wakes an idle daemon 100 times a second. */
 const EVENT_LOOP_PRECISION_MS = 1000;
 
+/** Histogram of the default metrics, by kind of collection. */
+const GC_METRIC = 'nodejs_gc_duration_seconds';
+
 /** The registry of a daemon, with its request counter and latency histogram. */
 export class Metrics {
   readonly registry = new Registry();
@@ -71,6 +74,13 @@
     });
   }
 
+  /** Time of garbage collection since the start of the process, ms, as collected with the default metrics. */
+  async gcMs(): Promise<number> {
+    const values = (await this.registry.getSingleMetric(GC_METRIC)?.get())?.values ?? [];
+    const sums = values.filter(value => 'metricName' in value && value.metricName === `${GC_METRIC}_sum`);
+    return sums.reduce((seconds, { value }) => seconds + value, 0) * 1000;
+  }
+
   /** Counts a response that ended before its body was complete. */
   responseCut(): void {
     this.cutResponses.inc();
--- /dev/null
+++ b/packages/daemon/src/processorTime.ts
@@ -0,0 +1,202 @@
+/**
+ * What a daemon's processor time is spent on.
+ *
+ * Handlers of events run through `measure`, and the continuations of promises that they resolve are attributed to the handler that ran last, up to the
+ * end of that event. One of `SAMPLE_INTERVAL` events of a kind is measured, and stands for the others: in the code of a young process, measuring an event takes
+ * some microseconds.
+ *
+ * What can't be told apart cheaply counts as the rest: reading and parsing HTTP before a handler runs, responses of upstreams and what they lead to,
+ * membership, health checks, and system calls of node's own. Handlers are timed by a monotonic clock, so that on a busy machine they include
+ * time in which other processes ran; the rest is then too small. Garbage collection runs inside of other work, and is reported beside it.
+ */
+import { type Clock, type MeasureWork, type Timer, type WorkKind } from '@cleatquay/clock';
+import { type Metrics } from './metrics.js';
+
+/** What processor time is attributed to. */
+export type ProcessorUse = WorkKind | 'start' | 'rest';
+
+/** Time sources of the measurement. */
+export interface ProcessorTimeSources {
+  /** Monotonic clock, ms. */
+  readonly now: () => number;
+  /** Processor time of the process since its start, ms. */
+  readonly used: () => number;
+  /** Runs an action once the promises that are resolved now have been handled, before the next event. */
+  readonly afterPromises: (action: () => void) => void;
+}
+
+/** One of this many events of each kind is measured. */
+export const SAMPLE_INTERVAL = 8;
+
+const RESOLVED = Promise.resolve();
+
+/** Sources of this process. Ticks that are queued by a promise's continuation run after all continuations. */
+export const PROCESS_TIME: ProcessorTimeSources = {
+  now: () => performance.now(),
+  used: () => {
+    const { user, system } = process.cpuUsage();
+    return (user + system) / 1000;
+  },
+  afterPromises: action => void RESOLVED.then(() => process.nextTick(action)),
+};
+
+/** Measures the work of one process. */
+export class ProcessorTime {
+  private readonly spent: Record<WorkKind, number> = { calls: 0, refusals: 0, links: 0, timers: 0 };
+  private startMs = 0;
+  /** The kind that time is attributed to; undefined outside of measured work. */
+  private current: WorkKind | undefined;
+  private since = 0;
+  /** The kind of the handler of this event that began last. */
+  private latest: WorkKind = 'timers';
+  /** Whether handlers run in an event that is measured, in one that is not, or in none yet. */
+  private event: 'measured' | 'skipped' | 'none' = 'none';
+  private readonly events: Record<WorkKind, number> = { calls: 0, refusals: 0, links: 0, timers: 0 };
+  private readonly closeEvent = () => {
+    this.switchTo(undefined);
+    this.event = 'none';
+  };
+
+  constructor(private readonly sources = PROCESS_TIME) {}
+
+  /** Runs work and attributes its time. */
+  readonly measure: MeasureWork = (kind, work) => {
+    if (this.event === 'measured') this.measureNested(kind, work);
+    else if (this.event === 'skipped' || !this.isSampled(kind)) this.skip(work);
+    else this.measureEvent(kind, work);
+  };
+
+  /** A refusal is written in the course of an event; by itself it would be measured more often than the event. */
+  private isSampled(kind: WorkKind): boolean {
+    return kind !== 'refusals' && this.events[kind]++ % SAMPLE_INTERVAL === 0;
+  }
+
+  private skip(work: () => void): void {
+    const outer = this.event;
+    this.event = 'skipped';
+    try {
+      work();
+    } finally {
+      this.event = outer;
+    }
+  }
+
+  private measureEvent(kind: WorkKind, work: () => void): void {
+    this.event = 'measured';
+    this.latest = kind;
+    this.switchTo(kind);
+    try {
+      work();
+    } finally {
+      this.switchTo(this.latest);
+      this.sources.afterPromises(this.closeEvent);
+    }
+  }
+
+  private measureNested(kind: WorkKind, work: () => void): void {
+    const outer = this.current;
+    this.latest = kind;
+    this.switchTo(kind);
+    try {
+      work();
+    } finally {
+      this.switchTo(outer);
+    }
+  }
+
+  /** Attributes all time until now to the start of the process. */
+  startEnded(): void {
+    this.startMs = this.sources.used();
+    for (const kind of Object.keys(this.spent) as WorkKind[]) this.spent[kind] = 0;
+  }
+
+  /** Processor time since the start of the process by use, ms. */
+  get byUse(): ReadonlyMap<ProcessorUse, number> {
+    const { startMs, spent } = this;
+    const known = { start: startMs, ...spent };
+    const knownMs = Object.values(known).reduce((sum, ms) => sum + ms, 0);
+    const uses = Object.entries(known) as [ProcessorUse, number][];
+    return new Map([...uses, ['rest', Math.max(0, this.sources.used() - knownMs)]]);
+  }
+
+  private switchTo(kind: WorkKind | undefined): void {
+    const now = this.sources.now();
+    if (this.current) this.spent[this.current] += (now - this.since) * SAMPLE_INTERVAL;
+    this.current = kind;
+    this.since = now;
+  }
+}
+
+/** Interval at which the use is compared with the bound, ms. */
+const INTERVAL_MS = 10_000;
+/** Share of a processor above which an interval is logged: a daemon near it delays requests. */
+const MAX_UNLOGGED_SHARE = 0.5;
+
+/** Dependencies of the log. */
+export interface ProcessorTimeLogOptions {
+  readonly clock: Clock;
+  readonly processorTime: Pick<ProcessorTime, 'byUse'>;
+  /** Tells the time of garbage collection. */
+  readonly metrics: Pick<Metrics, 'gcMs'>;
+  readonly log: (message: string, facts: object) => void;
+}
+
+/** Totals of a process, ms. */
+interface Totals {
+  readonly at: number;
+  readonly byUse: ReadonlyMap<ProcessorUse, number>;
+  /** Garbage collection, within the uses. */
+  readonly gcMs: number;
+}
+
+const NOTHING_USED: Omit<Totals, 'at'> = { byUse: new Map(), gcMs: 0 };
+
+/** Logs what processor time is spent on: each interval above the bound, and all of it when the process shuts down. */
+export class ProcessorTimeLog implements Disposable {
+  private timer: Timer;
+  private last: Totals;
+
+  constructor(private readonly options: ProcessorTimeLogOptions) {
+    this.last = { ...NOTHING_USED, at: options.clock.now() };
+    this.timer = this.schedule();
+  }
+
+  /** Logs the use since the start of the process. */
+  async logTotals(): Promise<void> {
+    const totals = await this.totals();
+    this.options.log('Processor time since the start, by use.', factsOf(totals, NOTHING_USED));
+  }
+
+  [Symbol.dispose](): void {
+    this.timer[Symbol.dispose]();
+  }
+
+  private schedule(): Timer {
+    return this.options.clock.after(INTERVAL_MS, () => {
+      this.timer = this.schedule();
+      void this.logIfAboveBound();
+    });
+  }
+
+  private async totals(): Promise<Totals> {
+    const { clock, processorTime, metrics } = this.options;
+    return { at: clock.now(), byUse: processorTime.byUse, gcMs: await metrics.gcMs() };
+  }
+
+  private async logIfAboveBound(): Promise<void> {
+    const { last } = this;
+    const totals = (this.last = await this.totals());
+    const forMs = totals.at - last.at;
+    const facts = factsOf(totals, last);
+    if (facts.usedMs <= forMs * MAX_UNLOGGED_SHARE) return;
+    this.options.log('Much processor time was used.', { forMs: Math.round(forMs), ...facts });
+  }
+}
+
+/** Processor time between two totals by use, ms. */
+function factsOf(totals: Omit<Totals, 'at'>, earlier: Omit<Totals, 'at'>) {
+  const spent = [...totals.byUse].map(([use, ms]) => [use, ms - (earlier.byUse.get(use) ?? 0)] as const);
+  const usedMs = Math.round(spent.reduce((sum, [, ms]) => sum + ms, 0));
+  const byUse = Object.fromEntries(spent.map(([use, ms]) => [`${use}Ms`, Math.round(ms)]));
+  return { usedMs, ...byUse, gcMs: Math.round(totals.gcMs - earlier.gcMs) };
+}
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -47,6 +47,7 @@
 import { PipelinedRequests } from './pipelinedRequests.js';
 import { UnreadBodies } from './unreadBodies.js';
 import { PressureLog } from './pressureLog.js';
+import { ProcessorTime, ProcessorTimeLog } from './processorTime.js';
 import { OrganisationServices } from './organisationServices.js';
 import { addDaemonGauges } from './daemonGauges.js';
 import { type RelayReportSources, relayDump, relayStatus } from './relayReport.js';
@@ -87,6 +88,8 @@
   readonly random: Random;
   readonly log: Logger;
   readonly platformAdapter: PlatformAdapter;
+  /** The measurement that the clock's timers run through, too. */
+  readonly processorTime?: ProcessorTime;
 }
 
 /** A running daemon for unmodified callers. */
@@ -99,6 +102,8 @@
   private readonly gateway: RelayGateway;
   private readonly learnedCalls: LearnedCalls;
   readonly pressure: ProcessorPressure;
+  readonly processorTime: ProcessorTime;
+  private readonly processorTimeLog: ProcessorTimeLog;
   private readonly scheduler: RequestScheduler;
   /** Set once the daemon listens for its peers. */
   core!: DaemonCore;
@@ -118,12 +123,15 @@
 
   private constructor(private readonly options: RelayDaemonOptions) {
     const { settings, clock, random, log, platformAdapter: adapter } = options;
+    const { metrics } = this;
     this.configurationLog = log.child({ part: 'configuration' });
     this.learnedCalls = new LearnedCalls(clock);
     const processorLog = log.child({ part: 'processor' });
-    const pressureLog = new PressureLog(clock, (message, facts) =>
-      processorLog.info(facts, `Processor: ${message}`),
-    );
+    const logProcessor = (message: string, facts: object) =>
+      processorLog.info(facts, `Processor: ${message}`);
+    const pressureLog = new PressureLog(clock, logProcessor);
+    const processorTime = (this.processorTime = options.processorTime ?? new ProcessorTime());
+    this.processorTimeLog = new ProcessorTimeLog({ clock, processorTime, metrics, log: logProcessor });
     this.pressure = new ProcessorPressure(
       clock,
       () => this.priorityClasses,
@@ -157,7 +165,7 @@
       lagMs: () => this.pressure.lagMs,
       log: (message, facts) => log.info(facts, message),
     });
-    const { metrics, closeLog } = this;
+    const { closeLog } = this;
     const responseEnds = new ResponseEndLog({ metrics, decisionTrace: () => this.core.decisionTrace });
     this.gateway = new RelayGateway({
       ingress: { handle: (...call) => this.ingress.handle(...call) },
@@ -167,11 +175,12 @@
       isShuttingDown: () => this.shutdown.hasStarted,
       scheduler: this.scheduler,
       clock,
+      measure: processorTime.measure,
       onRequestStart: () => this.onRequestStart(),
       closeLog,
       unreadBodies: new UnreadBodies({
         clock,
-        metrics: this.metrics,
+        metrics,
         log: (message, facts) => log.warn(facts, message),
       }),
       pipelined: new PipelinedRequests((message, facts) => log.warn(facts, message)),
@@ -190,6 +199,7 @@
     daemon.discovery = daemon.createDiscovery();
     addDaemonGauges(daemon.metrics, daemon);
     await daemon.startListening();
+    daemon.processorTime.startEnded();
     return daemon;
   }
 
@@ -253,11 +263,13 @@
     await clock.sleep(Math.min(UNREADY_DETECTION_MS, settings.graceMs / 2));
     this.upstreams.setDraining(true);
     await this.shutdown.waitUntilIdle();
+    await this.processorTimeLog.logTotals();
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
     this.membership.leave();
     this.pressure[Symbol.dispose]();
+    this.processorTimeLog[Symbol.dispose]();
     this.listeners.stopAccepting();
     await flushResponses(this.options.clock, () => this.inFlight > 0);
     this.shutdown.log('Daemon: Closing the connections of callers.');
@@ -279,6 +291,7 @@
       clock,
       random,
       log,
+      measure: this.processorTime.measure,
       upstreams: {
         protection: true,
         heartbeatMs: settings.heartbeatMs,
--- a/packages/daemon/src/relayGateway.ts
+++ b/packages/daemon/src/relayGateway.ts
@@ -7,7 +7,7 @@
   type RequestScheduler,
   forwardedRawHeaders,
 } from '@cleatquay/calls';
-import { type Clock } from '@cleatquay/clock';
+import { type Clock, type MeasureWork, runUnmeasured } from '@cleatquay/clock';
 import { Failure, asFailure } from '@cleatquay/errors';
 import { type Refusal, createRefusal } from '@cleatquay/protocol';
 import { type Credentials, parseCredentials } from '@cleatquay/organisations';
@@ -65,6 +65,8 @@
   readonly isShuttingDown: () => boolean;
   readonly scheduler: RequestScheduler;
   readonly clock: Clock;
+  /** Runs the handlers of requests, and the writing of refusals. */
+  readonly measure?: MeasureWork;
   /** Called at the start of each request; the function that it returns is called when the request has ended. */
   readonly onRequestStart: () => (refusal: Refusal | undefined) => void;
   /** Called when a response is cut: it ends before its body is complete. */
@@ -85,7 +87,7 @@
   private hasEverNeededKeys = false;
 
   constructor(private readonly options: RelayGatewayOptions) {
-    const { onResponseCut, onDeliveryEnd, closeLog } = options;
+    const { onResponseCut, onDeliveryEnd, closeLog, measure = runUnmeasured } = options;
     const { strippedHeaders, credentialsHeader, responseFormat, requestId } = options.dialect;
     this.openResponses = new OpenResponses({
       closeLog,
@@ -94,15 +96,13 @@
     });
     this.responseWriter = {
       ...responseFormat,
+      refusal: (response, refusal) => measure('refusals', () => responseFormat.refusal(response, refusal)),
       cut: response => this.openResponses.cut(response),
       collector: new ResponseCollector(),
     };
     this.strippedWithKeys = new Set([...strippedHeaders, credentialsHeader]);
-    this.server = createServer(
-      { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0 },
-      (request, response) => {
-        void this.serve(request, response);
-      },
+    this.server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0 }, (request, response) =>
+      measure('calls', () => void this.serve(request, response)),
     );
     handleParserErrors(this.server, this.openResponses);
     this.adoptConfiguration();
--- a/packages/daemon/src/relayGauges.ts
+++ b/packages/daemon/src/relayGauges.ts
@@ -5,10 +5,12 @@
 import { type Router } from '@cleatquay/routing';
 import { type ConfigurationUpdater } from './configurationUpdater.js';
 import { type Metrics } from './metrics.js';
+import { type ProcessorTime } from './processorTime.js';
 
 /** The components that the gauges read. */
 export interface RelayGaugeSources {
   readonly pressure: ProcessorPressure;
+  readonly processorTime: Pick<ProcessorTime, 'byUse'>;
   readonly configuration: Configuration<unknown>;
   readonly updater: ConfigurationUpdater;
   readonly router: Pick<Router, 'crossedCalls'>;
@@ -18,11 +20,17 @@
 /** Adds the gauges. */
 export function addRelayGauges(
   metrics: Metrics,
-  { pressure, configuration, updater, router, forwarder }: RelayGaugeSources,
+  { pressure, processorTime, configuration, updater, router, forwarder }: RelayGaugeSources,
 ): void {
   const gauge = (name: string, help: string, read: () => number) =>
     metrics.gauge(`cleatquay_${name}`, help, read);
   gauge('processor_lag_ms', 'How late the latest timer was', () => pressure.lagMs);
+  metrics.gaugeByLabel(
+    'cleatquay_processor_ms',
+    'Processor time by what it was spent on',
+    'use',
+    () => processorTime.byUse,
+  );
   gauge('configuration_generation', 'Generation in force', () => configuration.generation);
   gauge('configuration_content', 'First half of the digest in force', () => configuration.shortDigest);
   gauge(
--- /dev/null
+++ b/tests/processorTime.spec.ts
@@ -0,0 +1,172 @@
+import { ManualClock } from '@cleatquay/clock';
+import { ProcessorTime, ProcessorTimeLog, SAMPLE_INTERVAL } from '@cleatquay/daemon';
+import { expect } from 'chai';
+
+describe('processor time', () => {
+  let nowMs: number;
+  let usedMs: number;
+  let afterPromises: (() => void)[];
+  let time: ProcessorTime;
+
+  beforeEach(() => {
+    nowMs = 0;
+    usedMs = 0;
+    afterPromises = [];
+    time = new ProcessorTime({
+      now: () => nowMs,
+      used: () => usedMs,
+      afterPromises: action => void afterPromises.push(action),
+    });
+  });
+
+  /** Uses processor time; a measured handler stands for others that use as much. */
+  const work = (ms: number) => {
+    nowMs += ms;
+    usedMs += ms * SAMPLE_INTERVAL;
+  };
+
+  const endEvent = () => {
+    for (const action of afterPromises.splice(0)) action();
+  };
+
+  /** What was used, divided by the number of handlers that a measured one stands for. */
+  const uses = () => Object.fromEntries([...time.byUse].map(([use, ms]) => [use, ms / SAMPLE_INTERVAL]));
+
+  describe('ProcessorTime', () => {
+    it('attributes nested work to its own kind only, so that nothing counts twice', () => {
+      time.measure('links', () => {
+        work(1);
+        time.measure('calls', () => work(10));
+        work(2);
+      });
+      endEvent();
+      expect(uses()).to.deep.equal({ start: 0, calls: 10, refusals: 0, links: 3, timers: 0, rest: 0 });
+    });
+
+    it('attributes the continuations of promises to the handler that ran last, but no later event', () => {
+      time.measure('links', () => time.measure('calls', () => work(1)));
+      work(4);
+      endEvent();
+      work(7);
+      expect(uses()).to.deep.equal({ start: 0, calls: 5, refusals: 0, links: 0, timers: 0, rest: 7 });
+    });
+
+    it('resumes the kind of the continuation after work that it runs', () => {
+      time.measure('calls', () => work(1));
+      time.measure('refusals', () => work(2));
+      work(3);
+      endEvent();
+      expect(uses()).to.deep.equal({ start: 0, calls: 4, refusals: 2, links: 0, timers: 0, rest: 0 });
+    });
+
+    it('closes an event whose handler throws', () => {
+      const fail = () => {
+        work(1);
+        throw new Error('expected');
+      };
+      expect(() => time.measure('timers', fail)).to.throw('expected');
+      endEvent();
+      work(5);
+      expect(uses()).to.deep.equal({ start: 0, calls: 0, refusals: 0, links: 0, timers: 1, rest: 5 });
+    });
+
+    it('measures one of several events of a kind, and nothing within the others', () => {
+      const events = 3 * SAMPLE_INTERVAL;
+      for (let i = 0; i < events; i++) {
+        time.measure('links', () => {
+          nowMs += 1;
+          time.measure('calls', () => (nowMs += 2));
+        });
+        time.measure('refusals', () => (nowMs += 5));
+        endEvent();
+      }
+      usedMs = nowMs;
+      const expected = {
+        links: events,
+        calls: 2 * events,
+        refusals: 5 * events,
+        start: 0,
+        timers: 0,
+        rest: 0,
+      };
+      expect(Object.fromEntries(time.byUse)).to.deep.equal(expected);
+    });
+
+    it('counts all time until the daemon listens as its start', () => {
+      work(100);
+      time.measure('timers', () => work(5));
+      endEvent();
+      time.startEnded();
+      time.measure('calls', () => work(1));
+      expect(uses()).to.deep.equal({ start: 105, calls: 1, refusals: 0, links: 0, timers: 0, rest: 0 });
+    });
+
+    it('reports no negative rest when handlers waited for the processor', () => {
+      time.measure('calls', () => (nowMs += 50));
+      expect(uses().rest).to.equal(0);
+    });
+
+    it('attributes the continuation of a promise in a running process, and nothing after it', async () => {
+      const running = new ProcessorTime();
+      running.measure('calls', () => void Promise.resolve().then(spin).then(spin));
+      await new Promise(setImmediate);
+      spin();
+      const calls = (running.byUse.get('calls') ?? 0) / SAMPLE_INTERVAL;
+      expect(calls).to.be.within(2 * SPIN_MS, 3 * SPIN_MS - 1);
+    });
+  });
+
+  describe('ProcessorTimeLog', () => {
+    let clock: ManualClock;
+    let lines: { message: string; facts: object }[];
+    let log: ProcessorTimeLog;
+
+    beforeEach(() => {
+      clock = new ManualClock();
+      lines = [];
+      log = new ProcessorTimeLog({
+        clock,
+        processorTime: time,
+        metrics: { gcMs: () => Promise.resolve(usedMs / 10) },
+        log: (message, facts) => lines.push({ message, facts }),
+      });
+    });
+
+    afterEach(() => log[Symbol.dispose]());
+
+    const passInterval = async (usedInIntervalMs: number) => {
+      usedMs += usedInIntervalMs;
+      clock.advance(10_000);
+      await new Promise(setImmediate);
+    };
+
+    it('logs the intervals with more than half of a processor, each by itself', async () => {
+      await passInterval(4000);
+      await passInterval(6000);
+      await passInterval(5000);
+      const zero = { startMs: 0, callsMs: 0, refusalsMs: 0, linksMs: 0, timersMs: 0 };
+      expect(lines).to.deep.equal([
+        {
+          message: 'Much processor time was used.',
+          facts: { forMs: 10_000, usedMs: 6000, restMs: 6000, gcMs: 600, ...zero },
+        },
+      ]);
+    });
+
+    it('logs the totals at the end of a drain', async () => {
+      await passInterval(4000);
+      await passInterval(1000);
+      await log.logTotals();
+      expect(lines).to.have.length(1);
+      expect(lines[0]?.facts).to.include({ usedMs: 5000, restMs: 5000, gcMs: 500 });
+    });
+  });
+});
+
+const SPIN_MS = 20;
+
+/** Uses the processor. */
+function spin(): void {
+  const end = performance.now() + SPIN_MS;
+  while (performance.now() < end);
+}
