Drain after an exception that nothing handles, instead of ending with requests in flight

Cause: nothing listened to exceptions and rejections that no request handles, so that one of them, of ours or of a library, ended the process with code 1 at once, and with it every request in flight. A log that can't be written (a full disk) did so, too: the log output had no listener for its errors.

Change: UnhandledExceptions logs the first one in a line (message, stack, requests in flight, running, event-loop lag), and ProcessStop drains: readiness fails at once, the upstream takes no requests of other daemons, new requests get 503 as not run with Connection: close, calls of running requests are served, and the process exits with code 1 once nothing is in flight, at the latest at the end of the grace period. Later exceptions are logged four times at most and change nothing. SIGTERM meanwhile lets the same drain end with code 0. Exceptions during the start end the process as before. The native daemon does the same within drainMs. Errors of the log output, of stdout and of stderr are ignored.

A log whose reader has ended did not end the process before; that test guards it.

--- a/packages/calls/src/relay.ts
+++ b/packages/calls/src/relay.ts
@@ -77,6 +77,8 @@
   readonly quotaGate: QuotaGate;
   /** Root requests at or above this admission level are refused at once, since the process lacks processor time. */
   readonly pressureLevel: () => number;
+  /** Whether this daemon begins no requests any more, other than the calls of requests that its upstream is running. */
+  readonly refusesRequests: () => boolean;
   /** Time until this daemon closes its connections, ms; infinite unless it is shutting down. */
   readonly timeLeftMs: () => number;
   readonly drainEnd: DrainEnd;
@@ -116,14 +118,14 @@
     const isRefused =
       !parent && strictRequestLevel(context.class, context.rootId) >= this.options.pressureLevel();
     if (isRefused) return this.refuseForPressure(context);
-    if (this.outlastsDrain(context)) return this.refuseForShutdown(context);
+    if (this.isTooLate(context, parent)) return this.refuseForShutdown(context);
     const chainRefusal = parent ? undefined : this.options.chains.refusalOf(context);
     if (chainRefusal) return singlePartResponse(refusalPart(chainRefusal, 0));
     const body = this.options.uploads.open(context, request.method, source);
     if ('code' in body) return this.refuseForMemory(context, body);
     // Its quota may take until the end of the drain.
     const forward = async (forwardedContext: CallContext) =>
-      this.outlastsDrain(forwardedContext)
+      this.isTooLate(forwardedContext, parent)
         ? this.refuseForShutdown(forwardedContext)
         : this.withinTimeout(request, forwardedContext, { route, service, parent }, body, signal);
     return organisation
@@ -155,8 +157,8 @@
     return response;
   }
 
-  private outlastsDrain({ remainingMs }: CallContext): boolean {
-    return remainingMs > this.options.timeLeftMs();
+  private isTooLate({ remainingMs }: CallContext, parent: RunningCall | undefined): boolean {
+    return (!parent && this.options.refusesRequests()) || remainingMs > this.options.timeLeftMs();
   }
 
   /**
@@ -165,11 +167,10 @@
    */
   private refuseForShutdown({ requestId, remainingMs }: CallContext): CallResponse {
     const timeLeftMs = Math.round(this.options.timeLeftMs());
-    this.options.decisionTrace.record(
-      requestId,
-      'Refused: the daemon shuts down before the request could time out.',
-      { remainingMs, timeLeftMs },
-    );
+    this.options.decisionTrace.record(requestId, 'Refused: the daemon is shutting down.', {
+      remainingMs,
+      timeLeftMs,
+    });
     return singlePartResponse(
       refusalPart(createRefusal('draining', 'The daemon is shutting down.', RETRY_AT_ANOTHER_DAEMON), 0),
     );
--- a/packages/daemon/src/boundedLog.ts
+++ b/packages/daemon/src/boundedLog.ts
@@ -6,9 +6,9 @@
 const MAX_LINES = 100;
 
 /** The log of one condition; further occurrences show in the metrics only. */
-export function boundedLog(log: LogLine): LogLine {
+export function boundedLog(log: LogLine, maxLines = MAX_LINES): LogLine {
   let lines = 0;
   return (message, facts) => {
-    if (++lines <= MAX_LINES) log(message, facts);
+    if (++lines <= maxLines) log(message, facts);
   };
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -27,6 +27,7 @@
 import { logAdoption, logDigestMismatch, logPeerFetchFailure } from './adoptionLog.js';
 import { DaemonCore } from './daemonCore.js';
 import { type ReportSources, addDaemonGauges, daemonDump, daemonStatus } from './daemonReport.js';
+import { type DrainReason, type Outstanding } from './drain.js';
 import { FaultHooks } from './faultHooks.js';
 import { Metrics } from './metrics.js';
 import { operatorGateway } from './operatorGateway.js';
@@ -134,6 +135,11 @@
     return this.core.membership;
   }
 
+  /** Requests that have no response yet. */
+  get outstanding(): Outstanding {
+    return { inFlight: this.inFlight.size, running: this.core.running.size };
+  }
+
   /** The upstreams on the same VM. */
   get upstreams(): Upstreams {
     return this.core.upstreams;
@@ -145,12 +151,15 @@
     return { caller: this.callerAddress, inner: address, gossip: gossipAddress, operator: operatorAddress };
   }
 
-  /** Announces the shutdown to peers and callers, then refuses new requests as not run and waits for those in flight. */
-  async drain(): Promise<void> {
+  /**
+   * Announces the shutdown to peers and callers, then refuses new requests as not run and waits for those in flight. After a failure, new requests are
+   * refused at once.
+   */
+  async drain(reason: DrainReason = 'planned'): Promise<void> {
     const { clock, settings } = this.options;
     this.upstreams.setDraining(true);
     this.shutdownPhase = 'announced';
-    await clock.sleep(SHUTDOWN_NOTICE_MS);
+    if (reason === 'planned') await clock.sleep(SHUTDOWN_NOTICE_MS);
     this.shutdownPhase = 'refusing';
     const deadline = clock.now() + settings.drainMs;
     while (this.isBusy() && clock.now() < deadline) await clock.sleep(DRAIN_POLL_MS);
@@ -328,7 +337,7 @@
         decisionTrace: this.core.decisionTrace,
         quarantine: this.core.quarantine,
         faultHooks: settings.faultHooks ? this.faultHooks : undefined,
-        isReady: () => this.configuration.generation > 0,
+        isReady: () => this.shutdownPhase === undefined && this.configuration.generation > 0,
         organisations: () => this.organisations.counts.report,
         status: () => daemonStatus(this.reportSources),
         dump: () => daemonDump(this.reportSources),
--- a/packages/daemon/src/drain.ts
+++ b/packages/daemon/src/drain.ts
@@ -24,6 +24,12 @@
   readonly log: (message: string, facts: object) => void;
 }
 
+/**
+ * Why a daemon shuts down. In a planned stop it serves new requests for as long as callers are still sent to it; after a failure of its code it begins
+ * no work any more.
+ */
+export type DrainReason = 'planned' | 'failure';
+
 /** The drain of one daemon. */
 export class Drain {
   /** Tells the requests that are still in flight at the end of the drain. */
@@ -32,6 +38,7 @@
   private startedAt: number | undefined;
   /** Monotonic time at which the drain stops waiting for requests in flight, ms; after the drain, the time at which it ended. */
   private deadline = Number.POSITIVE_INFINITY;
+  private reason: DrainReason = 'planned';
 
   constructor(private readonly options: DrainOptions) {}
 
@@ -44,8 +51,14 @@
     return this.deadline - this.options.clock.now();
   }
 
-  start(): void {
+  /** Whether new requests are refused, other than the calls of requests in flight. */
+  get refusesRequests(): boolean {
+    return this.hasStarted && this.reason === 'failure';
+  }
+
+  start(reason: DrainReason): void {
     const { clock, graceMs } = this.options;
+    this.reason = reason;
     this.startedAt = clock.now();
     this.deadline = this.startedAt + graceMs * GRACE_RATIO;
   }
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -8,6 +8,13 @@
 export { UnreadBodies } from './unreadBodies.js';
 export { CloseLog } from './closeLog.js';
 export { PipelinedRequests } from './pipelinedRequests.js';
+export {
+  type ExceptionSource,
+  type UnhandledExceptionsOptions,
+  UnhandledExceptions,
+} from './unhandledExceptions.js';
+export { ProcessStop, type ProcessStopOptions } from './processStop.js';
+export { type DrainReason } from './drain.js';
 export { LogOutput } from './logOutput.js';
 export { PressureLog } from './pressureLog.js';
 export { ProcessorTime, ProcessorTimeLog, SAMPLE_INTERVAL } from './processorTime.js';
--- a/packages/daemon/src/logOutput.ts
+++ b/packages/daemon/src/logOutput.ts
@@ -26,6 +26,8 @@
       maxLength: MAX_BUFFER_BYTES,
       minLength: WRITE_BYTES,
     });
+    // Without a listener, lines that can't be written, for example since the disk is full, would end the process.
+    this.buffer.on('error', () => undefined);
     this.stream = this.buffer;
     this.timer = setInterval(() => this.buffer.flush(), FLUSH_INTERVAL_MS);
     this.timer.unref();
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,15 +1,21 @@
 /** Entry point of the daemon process: settings, logs, signals, exit codes. */
+import { ProcessorPressure } from '@cleatquay/admission';
 import { SystemClock, seededRandom } from '@cleatquay/clock';
 import { asFailure } from '@cleatquay/errors';
 import { loadProcessSettings } from '@cleatquay/settings';
-import { pino } from 'pino';
+import { destination, pino } from 'pino';
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 import { Daemon } from './daemon.js';
+import { ProcessStop } from './processStop.js';
+import { UnhandledExceptions } from './unhandledExceptions.js';
 
 /** Exit codes. A shutdown after a drain exits with 0. */
 const EXIT_INVALID_SETTINGS = 2;
 const EXIT_FAILURE = 1;
+const STANDARD_OUTPUT = 1;
+/** Upper bound of the time to close everything after the drain that follows an exception, ms. */
+const MAX_CLOSE_MS = 2000;
 
 const argv = await yargs(hideBin(process.argv))
   .scriptName('cleatquayd')
@@ -51,22 +57,34 @@
 
 try {
   const settings = loadProcessSettings(argv.settings, givenOptions());
-  const log = pino({ level: settings.logLevel, base: null });
-  const daemon = await Daemon.start({ settings, clock: new SystemClock(), random: seededRandom(), log });
+  const logOutput = destination(STANDARD_OUTPUT);
+  const log = pino({ level: settings.logLevel, base: null }, logOutput);
+  const clock = new SystemClock();
+  const daemon = await Daemon.start({ settings, clock, random: seededRandom(), log });
   log.info({ addresses: daemon.addresses }, 'Daemon: Ready for callers.');
-  const shutDown = async (signal: string) => {
-    log.info(`Daemon: Received ${signal}. Draining.`);
-    await daemon.drain();
-    await daemon[Symbol.asyncDispose]();
-    log.info('Daemon: Stopped.');
-    process.exit(0);
-  };
-  let isShuttingDown = false;
+  const pressure = new ProcessorPressure(clock, () => 1);
+  const stop = new ProcessStop({
+    run: async reason => {
+      await daemon.drain(reason);
+      await daemon[Symbol.asyncDispose]();
+      log.info('Daemon: Stopped.');
+    },
+    exit: code => process.exit(code),
+    fail: exitWithError,
+  });
+  new UnhandledExceptions({
+    clock,
+    facts: () => ({ ...daemon.outstanding, lagMs: Math.round(pressure.lagMs) }),
+    log: (message, facts) => log.error(facts, message),
+    stop: () => stop.begin('failure'),
+    maxStopMs: settings.drainMs + MAX_CLOSE_MS,
+    exit: () => process.exit(stop.exitCode),
+  }).watch(process, [logOutput, process.stdout, process.stderr]);
   // Without a listener, a repeated signal would end the process with requests in flight.
   for (const signal of ['SIGTERM', 'SIGINT'])
     process.on(signal, () => {
-      if (!isShuttingDown) void shutDown(signal).catch(exitWithError);
-      isShuttingDown = true;
+      log.info(`Daemon: Received ${signal}. Draining.`);
+      stop.begin('planned');
     });
 } catch (error) {
   exitWithError(error);
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -34,7 +34,7 @@
 import { ConfigurationUpdater } from './configurationUpdater.js';
 import { DaemonCore } from './daemonCore.js';
 import { restoreUpstreams } from './restoreUpstreams.js';
-import { Drain } from './drain.js';
+import { Drain, type DrainReason } from './drain.js';
 import { HttpListeners, type Listener, listenAddress, serverOf, startServers } from './httpListeners.js';
 import { Metrics } from './metrics.js';
 import { operatorGateway } from './operatorGateway.js';
@@ -53,6 +53,7 @@
 import { type RelayReportSources, relayDump, relayStatus } from './relayReport.js';
 import { type RelaySettings } from './relaySettings.js';
 import { type Announcement } from './announcement.js';
+import { type ProcessFacts } from './unhandledExceptions.js';
 import { type UpstreamBounds, type Upstreams } from './upstreams.js';
 
 /** How long records of non-idempotent attempts are kept, ms: longer than any caller waits for one. */
@@ -208,6 +209,15 @@
     return !this.shutdown.hasStarted && this.configuration.generation > 0 && this.isDiscoveryDone;
   }
 
+  /** Requests that have no response yet, and the event-loop lag. */
+  get processFacts(): ProcessFacts {
+    return {
+      inFlight: this.inFlight,
+      running: this.core.running.size,
+      lagMs: Math.round(this.pressure.lagMs),
+    };
+  }
+
   get membership(): Membership {
     return this.core.membership;
   }
@@ -256,11 +266,11 @@
     if (isNew) await this.discovery.record();
   }
 
-  /** Fails the readiness check, and waits for requests in flight within the grace period. */
-  async drain(): Promise<void> {
+  /** Fails the readiness check, and waits for requests in flight within the grace period. After a failure, new requests are refused at once. */
+  async drain(reason: DrainReason = 'planned'): Promise<void> {
     const { clock, settings } = this.options;
-    this.shutdown.start();
-    await clock.sleep(Math.min(UNREADY_DETECTION_MS, settings.graceMs / 2));
+    this.shutdown.start(reason);
+    if (reason === 'planned') await clock.sleep(Math.min(UNREADY_DETECTION_MS, settings.graceMs / 2));
     this.upstreams.setDraining(true);
     await this.shutdown.waitUntilIdle();
     await this.processorTimeLog.logTotals();
@@ -343,6 +353,7 @@
       quotaGate: this.organisations.createQuotaGate(this.core.decisionTrace),
       uploads: new Uploads(this.core.uploadBudget, random),
       pressureLevel: () => this.pressure.level,
+      refusesRequests: () => this.shutdown.refusesRequests,
       timeLeftMs: () => this.shutdown.timeLeftMs,
       drainEnd: this.shutdown.end,
       random,
--- a/tests/platformProcess.spec.ts
+++ b/tests/platformProcess.spec.ts
@@ -2,7 +2,7 @@
 import { expect } from 'chai';
 import { type ChildProcess, execFileSync, spawn } from 'node:child_process';
 import { once } from 'node:events';
-import { copyFileSync, mkdtempSync, writeFileSync } from 'node:fs';
+import { closeSync, copyFileSync, mkdtempSync, openSync, writeFileSync } from 'node:fs';
 import { request } from 'node:http';
 import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
@@ -13,6 +13,8 @@
 const GRACE_MS = 4000;
 /** Their log lines fill the buffers of standard output. */
 const UNREAD_LOG_REQUESTS = 1200;
+/** Longer than log lines are buffered. */
+const LOG_FLUSH_MS = 1200;
 
 describe('the bundled daemon as a process', () => {
   let store: PlatformStoreStandin;
@@ -65,13 +67,13 @@
     await store[Symbol.asyncDispose]();
   });
 
-  const start = (settingsFile: unknown, target = 'target') => {
+  const start = (settingsFile: unknown, target = 'target', output: 'pipe' | number = 'pipe') => {
     const path = join(mkdtempSync(join(tmpdir(), 'cleatquay-')), 'settings.json');
     writeFileSync(path, JSON.stringify(settingsFile));
     const env = { ...process.env, CLEATQUAY_SETTINGS: path };
     daemon = spawn(process.execPath, [join(target, 'cleatquay.cjs')], {
       env,
-      stdio: ['ignore', 'pipe', 'pipe'],
+      stdio: ['ignore', output, 'pipe'],
     });
     stderr = '';
     daemon.stderr?.on('data', (chunk: Buffer) => (stderr += chunk.toString()));
@@ -161,6 +163,37 @@
     expect(daemon.exitCode).to.equal(0);
   });
 
+  // Guards against a daemon that ends with its requests in flight since nobody takes its log.
+  describe('keeps responding, and exits with 0 after SIGTERM,', () => {
+    const expectService = async () => {
+      upstream.behaviour.fault = () => 'drop-response';
+      for (let i = 0; i < 300; i++) {
+        const { status, text } = await exchange(`unlogged-${String(i)}`);
+        expect(status, text).to.equal(502);
+      }
+      await new Promise(resolve => setTimeout(resolve, LOG_FLUSH_MS));
+      expect((await exchange('last')).status).to.equal(502);
+      const exited = once(daemon, 'exit');
+      daemon.kill('SIGTERM');
+      expect((await exited)[0]).to.equal(0);
+    };
+
+    it('when the reader of its log has ended', async () => {
+      start(settings);
+      await untilReady();
+      daemon.stdout?.destroy();
+      await expectService();
+    });
+
+    it('when its log can not be written', async () => {
+      const full = openSync('/dev/full', 'w');
+      start(settings, 'target', full);
+      closeSync(full);
+      await untilReady();
+      await expectService();
+    });
+  });
+
   for (const setting of ['callers', 'readiness', 'announcements'] as const) {
     it(`reports that its address for ${setting} is in use, and exits`, async () => {
       const address = String(settings[setting]);
--- a/tests/relay.spec.ts
+++ b/tests/relay.spec.ts
@@ -92,6 +92,7 @@
         proofAgeMs: () => 0,
       }),
       pressureLevel: () => Number.POSITIVE_INFINITY,
+      refusesRequests: () => false,
       timeLeftMs: () => timeLeftMs,
       drainEnd: new DrainEnd(),
       random: () => 0.5,
