Move what follows the processor out of the relay daemon

Change: Processor holds the pressure, the scheduler and the measurement; Upstreams tells whether a start is known. No decision is changed.

--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -1,11 +1,9 @@
 /** The daemon for unmodified callers: the same core, routes by host and path, and a watcher of the configuration source in every daemon. */
-import { ProcessorPressure } from '@cleatquay/admission';
 import {
   FleetRetryBudget,
   LearnedCalls,
   Relay,
   type UpstreamDialect,
-  RequestScheduler,
   Uploads,
   singlePartResponse,
   routeFromHead,
@@ -46,8 +44,8 @@
 import { type CallerDialect, RelayGateway } from './relayGateway.js';
 import { PipelinedRequests } from './pipelinedRequests.js';
 import { UnreadBodies } from './unreadBodies.js';
-import { PressureLog } from './pressureLog.js';
-import { ProcessorTime, ProcessorTimeLog } from './processorTime.js';
+import { Processor } from './processor.js';
+import { type ProcessorTime } from './processorTime.js';
 import { OrganisationServices } from './organisationServices.js';
 import { addDaemonGauges } from './daemonGauges.js';
 import { type RelayReportSources, relayDump, relayStatus } from './relayReport.js';
@@ -102,10 +100,7 @@
   private readonly configurationLog: Logger;
   private readonly gateway: RelayGateway;
   private readonly learnedCalls: LearnedCalls;
-  readonly pressure: ProcessorPressure;
-  readonly processorTime: ProcessorTime;
-  private readonly processorTimeLog: ProcessorTimeLog;
-  private readonly scheduler: RequestScheduler;
+  readonly processor: Processor;
   /** Set once the daemon listens for its peers. */
   core!: DaemonCore;
   private ingress!: Relay;
@@ -128,18 +123,13 @@
     this.configurationLog = log.child({ part: 'configuration' });
     this.learnedCalls = new LearnedCalls(clock);
     const processorLog = log.child({ part: 'processor' });
-    const logProcessor = (message: string, facts: object) =>
-      processorLog.info(facts, `Processor: ${message}`);
-    const pressureLog = new PressureLog(clock, logProcessor);
-    const processorTime = (this.processorTime = options.processorTime ?? new ProcessorTime());
-    this.processorTimeLog = new ProcessorTimeLog({ clock, processorTime, metrics, log: logProcessor });
-    this.pressure = new ProcessorPressure(
+    this.processor = new Processor({
       clock,
-      () => this.priorityClasses,
-      () => this.scheduler.waitMs(),
-      (lagMs, isLagging) => pressureLog.addSample(lagMs, isLagging),
-    );
-    this.scheduler = new RequestScheduler(clock, () => this.pressure.isLagging);
+      metrics,
+      log: (message, facts) => processorLog.info(facts, `Processor: ${message}`),
+      classes: () => this.priorityClasses,
+      time: options.processorTime,
+    });
     this.configuration = new Configuration(
       clock,
       sections => new HostRoutes(adapter.plan(sections), random, this.configuration.active),
@@ -163,10 +153,10 @@
       log: (message, facts) => log.info(facts, message),
     });
     this.closeLog = new CloseLog({
-      lagMs: () => this.pressure.lagMs,
+      lagMs: () => this.processor.pressure.lagMs,
       log: (message, facts) => log.info(facts, message),
     });
-    const { closeLog } = this;
+    const warn = (message: string, facts: object) => log.warn(facts, message);
     const responseEnds = new ResponseEndLog({ metrics, decisionTrace: () => this.core.decisionTrace });
     this.gateway = new RelayGateway({
       ingress: { handle: (...call) => this.ingress.handle(...call) },
@@ -174,17 +164,13 @@
       limits: () => this.configuration.active?.plan.limits,
       needsKeys: () => this.organisations.needsKeys,
       isShuttingDown: () => this.shutdown.hasStarted,
-      scheduler: this.scheduler,
+      scheduler: this.processor.scheduler,
       clock,
-      measure: processorTime.measure,
+      measure: this.processor.time.measure,
       onRequestStart: () => this.onRequestStart(),
-      closeLog,
-      unreadBodies: new UnreadBodies({
-        clock,
-        metrics,
-        log: (message, facts) => log.warn(facts, message),
-      }),
-      pipelined: new PipelinedRequests((message, facts) => log.warn(facts, message)),
+      closeLog: this.closeLog,
+      unreadBodies: new UnreadBodies({ clock, metrics, log: warn }),
+      pipelined: new PipelinedRequests(warn),
       onResponseCut: responseEnds.recordCut,
       onDeliveryEnd: responseEnds.recordDelivery,
     });
@@ -200,7 +186,7 @@
     daemon.discovery = daemon.createDiscovery();
     addDaemonGauges(daemon.metrics, daemon);
     await daemon.startListening();
-    daemon.processorTime.startEnded();
+    daemon.processor.time.startEnded();
     return daemon;
   }
 
@@ -214,7 +200,7 @@
     return {
       inFlight: this.inFlight,
       running: this.core.running.size,
-      lagMs: Math.round(this.pressure.lagMs),
+      lagMs: Math.round(this.processor.pressure.lagMs),
     };
   }
 
@@ -243,13 +229,9 @@
         result: 'announcementInvalid',
         field: 'service',
       });
-    const isKnown = () =>
-      this.upstreams.identifiedUpstreams.some(
-        known => known.instanceId === instanceId && known.born === born,
-      );
-    const wasKnown = isKnown();
+    const wasKnown = this.upstreams.isIdentified(instanceId, born);
     await this.upstreams.announce(announcement);
-    if (!wasKnown && isKnown()) void this.discovery.record();
+    if (!wasKnown && this.upstreams.isIdentified(instanceId, born)) void this.discovery.record();
   }
 
   /** Whether the active configuration or the settings name the service; true while there is no configuration. */
@@ -273,13 +255,12 @@
     if (reason === 'planned') await clock.sleep(Math.min(UNREADY_DETECTION_MS, settings.graceMs / 2));
     this.upstreams.setDraining(true);
     await this.shutdown.waitUntilIdle();
-    await this.processorTimeLog.logTotals();
+    await this.processor.logTotals();
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
     this.membership.leave();
-    this.pressure[Symbol.dispose]();
-    this.processorTimeLog[Symbol.dispose]();
+    this.processor[Symbol.dispose]();
     this.listeners.stopAccepting();
     await flushResponses(this.options.clock, () => this.inFlight > 0);
     this.shutdown.log('Daemon: Closing the connections of callers.');
@@ -301,7 +282,7 @@
       clock,
       random,
       log,
-      measure: this.processorTime.measure,
+      measure: this.processor.time.measure,
       upstreams: {
         protection: true,
         heartbeatMs: settings.heartbeatMs,
@@ -321,7 +302,7 @@
       downstreamCallsOf: ({ name }) => this.learnedCalls.expectedFrom(name),
       attemptRetentionMs: () => ATTEMPT_RETENTION_MS,
       isPartitioned: () => false,
-      scheduler: this.scheduler,
+      scheduler: this.processor.scheduler,
       quarantineTable: adapter.quarantine,
       localService: settings.service,
       handleAsHome: () => {
@@ -352,7 +333,7 @@
       authenticator: this.organisations.authenticator,
       quotaGate: this.organisations.createQuotaGate(this.core.decisionTrace),
       uploads: new Uploads(this.core.uploadBudget, random),
-      pressureLevel: () => this.pressure.level,
+      pressureLevel: () => this.processor.pressure.level,
       refusesRequests: () => this.shutdown.refusesRequests,
       timeLeftMs: () => this.shutdown.timeLeftMs,
       drainEnd: this.shutdown.end,
--- a/packages/daemon/src/relayGauges.ts
+++ b/packages/daemon/src/relayGauges.ts
@@ -1,16 +1,14 @@
 /** Gauges of a daemon for unmodified callers, evaluated on each scrape; docs/operators/observe.md lists them. */
-import { type ProcessorPressure } from '@cleatquay/admission';
 import { type Forwarder } from '@cleatquay/calls';
 import { type Configuration } from '@cleatquay/configuration';
 import { type Router } from '@cleatquay/routing';
 import { type ConfigurationUpdater } from './configurationUpdater.js';
 import { type Metrics } from './metrics.js';
-import { type ProcessorTime } from './processorTime.js';
+import { type Processor } from './processor.js';
 
 /** The components that the gauges read. */
 export interface RelayGaugeSources {
-  readonly pressure: ProcessorPressure;
-  readonly processorTime: Pick<ProcessorTime, 'byUse'>;
+  readonly processor: Pick<Processor, 'pressure' | 'time'>;
   readonly configuration: Configuration<unknown>;
   readonly updater: ConfigurationUpdater;
   readonly router: Pick<Router, 'crossedCalls'>;
@@ -20,16 +18,16 @@
 /** Adds the gauges. */
 export function addRelayGauges(
   metrics: Metrics,
-  { pressure, processorTime, configuration, updater, router, forwarder }: RelayGaugeSources,
+  { processor, configuration, updater, router, forwarder }: RelayGaugeSources,
 ): void {
   const gauge = (name: string, help: string, read: () => number) =>
     metrics.gauge(`cleatquay_${name}`, help, read);
-  gauge('processor_lag_ms', 'How late the latest timer was', () => pressure.lagMs);
+  gauge('processor_lag_ms', 'How late the latest timer was', () => processor.pressure.lagMs);
   metrics.gaugeByLabel(
     'cleatquay_processor_ms',
     'Processor time by what it was spent on',
     'use',
-    () => processorTime.byUse,
+    () => processor.time.byUse,
   );
   gauge('configuration_generation', 'Generation in force', () => configuration.generation);
   gauge('configuration_content', 'First half of the digest in force', () => configuration.shortDigest);
--- a/packages/daemon/src/upstreams.ts
+++ b/packages/daemon/src/upstreams.ts
@@ -114,6 +114,11 @@
     return isNew;
   }
 
+  /** Whether a start of an instance is among the upstreams. */
+  isIdentified(instanceId: string, born: number): boolean {
+    return this.identifiedUpstreams.some(known => known.instanceId === instanceId && known.born === born);
+  }
+
   /** The upstreams that announced an instance id. */
   get identifiedUpstreams(): KnownUpstream[] {
     return [...this.byService.values()]
