Tell requests of callers from calls in the processor time

Cause: a profile of ten daemons had 1.0% of the processor time in the measurement itself, most of it for events that are not measured.

Change: work that runs in the course of an event (calls that frames of links bring or answer, refusals) never begins a measured event, so that nothing has to be recorded of an event that isn't measured. Requests of callers are a use of their own.

--- a/packages/clock/src/measuredWork.ts
+++ b/packages/clock/src/measuredWork.ts
@@ -1,7 +1,10 @@
 /** The kinds of work that a process measures the time of; see `ProcessorTime` in the daemon. */
 
-/** Requests and calls, refusals that are sent to callers, frames of links, and timers. */
-export type WorkKind = 'calls' | 'refusals' | 'links' | 'timers';
+/** Work that begins with an event: requests of callers, frames of links, timers. */
+export type EventKind = 'requests' | 'links' | 'timers';
+
+/** Also the work that is done in the course of such an event: calls that frames bring or answer, refusals that are sent to callers. */
+export type WorkKind = EventKind | 'calls' | 'refusals';
 
 /** Runs `work`, and attributes its time to `kind`. Work inside other work is attributed to its own kind only. */
 export type MeasureWork = (kind: WorkKind, work: () => void) => void;
--- a/packages/daemon/src/processorTime.ts
+++ b/packages/daemon/src/processorTime.ts
@@ -9,7 +9,7 @@
  * membership, health checks, and system calls of node's own. Handlers are timed by a monotonic clock, so that on a busy machine they include
  * time in which other processes ran; the rest is then too small. Garbage collection runs inside of other work, and is reported beside it.
  */
-import { type Clock, type MeasureWork, type Timer, type WorkKind } from '@cleatquay/clock';
+import { type Clock, type EventKind, type MeasureWork, type Timer, type WorkKind } from '@cleatquay/clock';
 import { type Metrics } from './metrics.js';
 
 /** What processor time is attributed to. */
@@ -42,47 +42,38 @@
 
 /** Measures the work of one process. */
 export class ProcessorTime {
-  private readonly spent: Record<WorkKind, number> = { calls: 0, refusals: 0, links: 0, timers: 0 };
+  private readonly spent: Record<WorkKind, number> = {
+    requests: 0,
+    calls: 0,
+    refusals: 0,
+    links: 0,
+    timers: 0,
+  };
   private startMs = 0;
   /** The kind that time is attributed to; undefined outside of measured work. */
   private current: WorkKind | undefined;
   private since = 0;
   /** The kind of the handler of this event that began last. */
   private latest: WorkKind = 'timers';
-  /** Whether handlers run in an event that is measured, in one that is not, or in none yet. */
-  private event: 'measured' | 'skipped' | 'none' = 'none';
-  private readonly events: Record<WorkKind, number> = { calls: 0, refusals: 0, links: 0, timers: 0 };
+  /** Whether the current event is measured. */
+  private isMeasured = false;
+  private readonly events: Record<EventKind, number> = { requests: 0, links: 0, timers: 0 };
   private readonly closeEvent = () => {
     this.switchTo(undefined);
-    this.event = 'none';
+    this.isMeasured = false;
   };
 
   constructor(private readonly sources = PROCESS_TIME) {}
 
   /** Runs work and attributes its time. */
   readonly measure: MeasureWork = (kind, work) => {
-    if (this.event === 'measured') this.measureNested(kind, work);
-    else if (this.event === 'skipped' || !this.isSampled(kind)) this.skip(work);
-    else this.measureEvent(kind, work);
+    if (this.isMeasured) this.measureNested(kind, work);
+    else if (beginsEvent(kind) && this.events[kind]++ % SAMPLE_INTERVAL === 0) this.measureEvent(kind, work);
+    else work();
   };
 
-  /** A refusal is written in the course of an event; by itself it would be measured more often than the event. */
-  private isSampled(kind: WorkKind): boolean {
-    return kind !== 'refusals' && this.events[kind]++ % SAMPLE_INTERVAL === 0;
-  }
-
-  private skip(work: () => void): void {
-    const outer = this.event;
-    this.event = 'skipped';
-    try {
-      work();
-    } finally {
-      this.event = outer;
-    }
-  }
-
   private measureEvent(kind: WorkKind, work: () => void): void {
-    this.event = 'measured';
+    this.isMeasured = true;
     this.latest = kind;
     this.switchTo(kind);
     try {
@@ -127,6 +118,10 @@
   }
 }
 
+function beginsEvent(kind: WorkKind): kind is EventKind {
+  return kind !== 'calls' && kind !== 'refusals';
+}
+
 /** Interval at which the use is compared with the bound, ms. */
 const INTERVAL_MS = 10_000;
 /** Share of a processor above which an interval is logged: a daemon near it delays requests. */
--- a/packages/daemon/src/relayGateway.ts
+++ b/packages/daemon/src/relayGateway.ts
@@ -102,7 +102,7 @@
     };
     this.strippedWithKeys = new Set([...strippedHeaders, credentialsHeader]);
     this.server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0 }, (request, response) =>
-      measure('calls', () => void this.serve(request, response)),
+      measure('requests', () => void this.serve(request, response)),
     );
     handleParserErrors(this.server, this.openResponses);
     this.adoptConfiguration();
--- a/tests/processorTime.spec.ts
+++ b/tests/processorTime.spec.ts
@@ -40,7 +40,7 @@
         work(2);
       });
       endEvent();
-      expect(uses()).to.deep.equal({ start: 0, calls: 10, refusals: 0, links: 3, timers: 0, rest: 0 });
+      expect(uses()).to.deep.equal({ ...ZERO, calls: 10, links: 3 });
     });
 
     it('attributes the continuations of promises to the handler that ran last, but no later event', () => {
@@ -48,15 +48,15 @@
       work(4);
       endEvent();
       work(7);
-      expect(uses()).to.deep.equal({ start: 0, calls: 5, refusals: 0, links: 0, timers: 0, rest: 7 });
+      expect(uses()).to.deep.equal({ ...ZERO, calls: 5, rest: 7 });
     });
 
     it('resumes the kind of the continuation after work that it runs', () => {
-      time.measure('calls', () => work(1));
+      time.measure('requests', () => work(1));
       time.measure('refusals', () => work(2));
       work(3);
       endEvent();
-      expect(uses()).to.deep.equal({ start: 0, calls: 4, refusals: 2, links: 0, timers: 0, rest: 0 });
+      expect(uses()).to.deep.equal({ ...ZERO, requests: 4, refusals: 2 });
     });
 
     it('closes an event whose handler throws', () => {
@@ -67,7 +67,7 @@
       expect(() => time.measure('timers', fail)).to.throw('expected');
       endEvent();
       work(5);
-      expect(uses()).to.deep.equal({ start: 0, calls: 0, refusals: 0, links: 0, timers: 1, rest: 5 });
+      expect(uses()).to.deep.equal({ ...ZERO, timers: 1, rest: 5 });
     });
 
     it('measures one of several events of a kind, and nothing within the others', () => {
@@ -81,14 +81,7 @@
         endEvent();
       }
       usedMs = nowMs;
-      const expected = {
-        links: events,
-        calls: 2 * events,
-        refusals: 5 * events,
-        start: 0,
-        timers: 0,
-        rest: 0,
-      };
+      const expected = { ...ZERO, links: events, calls: 2 * events, refusals: 5 * events };
       expect(Object.fromEntries(time.byUse)).to.deep.equal(expected);
     });
 
@@ -97,22 +90,22 @@
       time.measure('timers', () => work(5));
       endEvent();
       time.startEnded();
-      time.measure('calls', () => work(1));
-      expect(uses()).to.deep.equal({ start: 105, calls: 1, refusals: 0, links: 0, timers: 0, rest: 0 });
+      time.measure('requests', () => work(1));
+      expect(uses()).to.deep.equal({ ...ZERO, start: 105, requests: 1 });
     });
 
     it('reports no negative rest when handlers waited for the processor', () => {
-      time.measure('calls', () => (nowMs += 50));
+      time.measure('requests', () => (nowMs += 50));
       expect(uses().rest).to.equal(0);
     });
 
     it('attributes the continuation of a promise in a running process, and nothing after it', async () => {
       const running = new ProcessorTime();
-      running.measure('calls', () => void Promise.resolve().then(spin).then(spin));
+      running.measure('requests', () => void Promise.resolve().then(spin).then(spin));
       await new Promise(setImmediate);
       spin();
-      const calls = (running.byUse.get('calls') ?? 0) / SAMPLE_INTERVAL;
-      expect(calls).to.be.within(2 * SPIN_MS, 3 * SPIN_MS - 1);
+      const requests = (running.byUse.get('requests') ?? 0) / SAMPLE_INTERVAL;
+      expect(requests).to.be.within(2 * SPIN_MS, 3 * SPIN_MS - 1);
     });
   });
 
@@ -144,7 +137,7 @@
       await passInterval(4000);
       await passInterval(6000);
       await passInterval(5000);
-      const zero = { startMs: 0, callsMs: 0, refusalsMs: 0, linksMs: 0, timersMs: 0 };
+      const zero = { startMs: 0, requestsMs: 0, callsMs: 0, refusalsMs: 0, linksMs: 0, timersMs: 0 };
       expect(lines).to.deep.equal([
         {
           message: 'Much processor time was used.',
@@ -163,6 +156,9 @@
   });
 });
 
+/** Nothing used. */
+const ZERO = { start: 0, requests: 0, calls: 0, refusals: 0, links: 0, timers: 0, rest: 0 };
+
 const SPIN_MS = 20;
 
 /** Uses the processor. */
