Serve what was passed on for a caller that pipelines too many requests, and end its connection in order

Cause: when the requests that wait behind 16 others of their connection took more than 1 MiB, the connection with the most was reset, though up to 16 of its requests ran at upstreams. The parser of Node.js handles every request of a read, and resumes a connection that was paused at each of them, so that the pause of such a connection had no effect: the next read was parsed, too.

Change: a connection for whose next request there is no room is parsed no further: the handler of the parser returns an error, so that the request and those behind it are never made. All that was accepted before is served, then the caller gets 503 with Connection: close. Memory for requests that wait is bounded at 2 MiB and one request a connection; a connection has as much of it as is left. A connection with requests that wait is read on, as it was in effect, so that the end of its caller is seen. After the last response the rest of what the caller sends is discarded, up to 4 MiB and 1 s, instead of a reset that could cost it responses; this holds for invalid bytes, too. Requests are counted as they are parsed, also at the native interface, which starts to serve them later.

--- a/packages/daemon/src/callerGateway.ts
+++ b/packages/daemon/src/callerGateway.ts
@@ -84,7 +84,7 @@
     const recordEnd = options.metrics.requestStarted();
     const shutdownPhase = options.shutdownPhase();
     if (shutdownPhase && !announceClose(request, response)) return recordEnd('', DISCONNECT_REFUSAL);
-    await Promise.all([options.pipelined.add(request, response), whenEarlierEnded(request, response)]);
+    await Promise.all([options.pipelined.turnOf(response), whenEarlierEnded(request, response)]);
     await options.scheduler.acquire();
     if (disconnect.aborted) return recordEnd('', DISCONNECT_REFUSAL);
     try {
@@ -128,7 +128,8 @@
       },
     },
     created(this: Service) {
-      handleParserErrors(serverOf(this), openResponses);
+      options.pipelined.watch(serverOf(this));
+      handleParserErrors(serverOf(this), openResponses, clock);
     },
   };
 }
--- a/packages/daemon/src/callerResponse.ts
+++ b/packages/daemon/src/callerResponse.ts
@@ -217,26 +217,34 @@
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
 };
 
-/** Responds to input that is not valid HTTP, and closes the connection. */
+/** What a caller is told of input that can't be served as a request. */
+const INPUT_REFUSALS = {
+  headerInvalid: { status: '400 Bad Request', message: 'The request is not valid HTTP.' },
+  bodyIncomplete: { status: '400 Bad Request', message: 'The body broke off.' },
+  overloaded: {
+    status: '503 Service Unavailable',
+    message: 'Too many requests are pipelined on this connection: this one and those behind it have not run.',
+  },
+};
+/** For callers that pipeline too much, s. */
+const RETRY_AFTER = 1;
+
+/** Responds to input that is not valid HTTP, or beyond what is accepted, and closes the connection. */
 export function writeHttpParserError(
   error: Error & { code?: string },
   socket: Duplex,
-  result: 'headerInvalid' | 'bodyIncomplete' = 'headerInvalid',
+  result: keyof typeof INPUT_REFUSALS = 'headerInvalid',
 ): void {
   if (error.code === 'ECONNRESET' || !socket.writable) return void socket.destroy();
   const { code, outcome, advice } = resultCodes[result];
-  const text = JSON.stringify({
-    code,
-    result,
-    outcome,
-    message: result === 'headerInvalid' ? 'The request is not valid HTTP.' : 'The body broke off.',
-    advice,
-  });
-  const status = STATUS_BY_PARSER_ERROR[error.code ?? ''] ?? '400 Bad Request';
+  const { message, status: usualStatus } = INPUT_REFUSALS[result];
+  const text = JSON.stringify({ code, result, outcome, message, advice });
+  const status = STATUS_BY_PARSER_ERROR[error.code ?? ''] ?? usualStatus;
   const head = [
     `HTTP/1.1 ${status}`,
     'content-type: application/json',
     `content-length: ${String(text.length)}`,
+    ...(result === 'overloaded' ? [`retry-after: ${String(RETRY_AFTER)}`] : []),
   ];
   socket.end([...head, 'connection: close', `${headerNames.outcome}: ${outcome}`, '', text].join('\r\n'));
 }
--- a/packages/daemon/src/relayGateway.ts
+++ b/packages/daemon/src/relayGateway.ts
@@ -104,7 +104,8 @@
     this.server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0 }, (request, response) =>
       measure('requests', () => void this.serve(request, response)),
     );
-    handleParserErrors(this.server, this.openResponses);
+    options.pipelined.watch(this.server);
+    handleParserErrors(this.server, this.openResponses, options.clock);
     this.adoptConfiguration();
   }
 
@@ -133,7 +134,7 @@
     // In flight until the last byte is sent: a daemon that shuts down closes its connections once no request is in flight.
     response.on('close', () => onRequestEnd(response.writableFinished ? refusal : DISCONNECT_REFUSAL));
     if (isShuttingDown() && !announceClose(request, response)) return;
-    const turn = this.options.pipelined.add(request, response);
+    const turn = this.options.pipelined.turnOf(response);
     const earlier = whenEarlierEnded(request, response);
     try {
       const turnMs = turn || earlier ? await timed(clock, Promise.all([turn, earlier])) : 0;
--- a/tests/pipelining.spec.ts
+++ b/tests/pipelining.spec.ts
@@ -3,7 +3,7 @@
 import { type AnswerPart, createRefusal, refusalPart } from '@cleatquay/protocol';
 import { expect } from 'chai';
 import { once } from 'node:events';
-import { type AddressInfo, connect } from 'node:net';
+import { type AddressInfo, type Socket, connect } from 'node:net';
 import { startGateway } from './fixtures/callerGateway.js';
 import { PlatformFleet, routeTo, until } from './fixtures/platformFleet.js';
 
@@ -119,6 +119,42 @@
     expect(handled).to.deep.equal(['p1', 'p2']);
   });
 
+  // Guards against a daemon that reads what it can't keep: each read would hold another 64 KiB, or take time that other callers need.
+  it('are read no further once they are more than the daemon keeps', async () => {
+    const sockets: Socket[] = [];
+    const gateway = await startGateway({ ingress: { handle: () => new Promise(() => undefined) } });
+    gateway.server.on('connection', socket => sockets.push(socket));
+    const caller = connect((gateway.server.address() as AddressInfo).port, '127.0.0.1');
+    caller.write(Array.from({ length: 20_000 }, (_, i) => requestWithId(`w${String(i)}`)).join(''));
+    await until(() => (sockets[0]?.bytesRead ?? 0) > 0);
+    await new Promise(resolve => setTimeout(resolve, 200));
+    expect(sockets[0]!.bytesRead).to.be.at.most(2 * 65_536);
+    caller.destroy();
+    gateway.server.closeAllConnections();
+    gateway.server.close();
+  });
+
+  // Guards against memory that counts as taken after the connection whose requests took it has closed.
+  it('have room again once the connections that took all of it have closed', async () => {
+    let handled = 0;
+    const handle = () => new Promise<never>(() => void handled++);
+    const gateway = await startGateway({ ingress: { handle } });
+    const send = (count: number) => {
+      const caller = connect((gateway.server.address() as AddressInfo).port, '127.0.0.1');
+      caller.on('error', () => undefined).resume();
+      caller.write(Array.from({ length: count }, (_, i) => requestWithId(`r${String(i)}`)).join(''));
+    };
+    for (let i = 1; i <= 20; i++) send(2000);
+    await until(() => handled === 20 * 16);
+    gateway.server.closeAllConnections();
+    let outstanding = 0;
+    gateway.server.on('request', () => outstanding++);
+    send(100);
+    await until(() => outstanding === 100);
+    gateway.server.closeAllConnections();
+    gateway.server.close();
+  });
+
   // Guards against requests that a daemon takes for outstanding for good: Node.js reports the end of a connection to one response only.
   it('have all ended when their caller disconnects, also those whose turn has not come', async () => {
     let outstanding = 0;
