Let a timer that throws not hold up the others of its timeout

Cause: timers that share a timeout fire in a loop, which an exception leaves; the timeout was set for the timers after those that were due.

Change: the timeout is set again if timers that were due are left.

--- a/packages/clock/src/sharedTimeout.ts
+++ b/packages/clock/src/sharedTimeout.ts
@@ -44,8 +44,13 @@
     // Before any timer fires: what it adds may be due earlier than those that are pending now.
     this.setTimeout(next);
     due.sort((a, b) => a.timeoutAt - b.timeoutAt);
-    // A timer may cancel another one that is due.
-    for (const timer of due) if (this.pending.has(timer)) timer.fire();
+    try {
+      // A timer may cancel another one that is due.
+      for (const timer of due) if (this.pending.has(timer)) timer.fire();
+    } finally {
+      // One that throws must not hold up the others.
+      if (due.some(timer => this.pending.has(timer))) this.setTimeout(now);
+    }
   }
 
   private setTimeout(timeoutAt: number): void {
--- a/tests/sharedTimeout.spec.ts
+++ b/tests/sharedTimeout.spec.ts
@@ -74,6 +74,26 @@
       expect(Math.min(...lateness.values())).to.be.at.least(0);
     });
 
+    it('fire though an earlier one that was due at the same time throws', async () => {
+      const uncaught = process.listeners('uncaughtException');
+      process.removeAllListeners('uncaughtException');
+      const thrown: unknown[] = [];
+      const record = (error: unknown) => void thrown.push(error);
+      process.on('uncaughtException', record);
+      try {
+        const error = new Error('Test: an exception in a timer.');
+        clock.after(120, () => {
+          throw error;
+        });
+        const late = new Promise<string>(resolve => clock.after(120, () => resolve('fired')));
+        expect(await Promise.race([late, sleep(1000)])).to.equal('fired');
+        expect(thrown).to.deep.equal([error]);
+      } finally {
+        process.off('uncaughtException', record);
+        for (const listener of uncaught) process.on('uncaughtException', listener);
+      }
+    });
+
     it('fire if they were set by one that fired, also when none was left', async () => {
       let count = 0;
       const repeat = () => {
