Know native callers' requests when they are parsed

Cause: moleculer-web serves a request after the rest of the read has been parsed. The register of open responses was empty by then, so that the response to invalid bytes, or to too many requests, was sent before those to the requests in front of it, and its end dropped them.

Change: the native interface registers each request when it is parsed. The test that connections which have closed take no memory any more uses a plain server, whose responses get no event when they wait on such a connection.

--- a/packages/daemon/src/callerGateway.ts
+++ b/packages/daemon/src/callerGateway.ts
@@ -22,7 +22,7 @@
 import { disconnectSignalOf } from './callerDisconnect.js';
 import { announceClose } from './closeAnnouncements.js';
 import { type CloseLog } from './closeLog.js';
-import { OpenResponses } from './openResponses.js';
+import { type Exchange, OpenResponses } from './openResponses.js';
 import { CallerBody, type BodyLimits, hasBody } from './callerBody.js';
 import { gatewaySettings } from './gatewaySettings.js';
 import { serverOf } from './httpListeners.js';
@@ -70,6 +70,7 @@
     onCut: () => metrics.responseCut(),
     onDeliveryEnd: (_request, end) => metrics.deliveryEnded(end),
   });
+  const exchanges = new WeakMap<ServerResponse, Exchange>();
   const writer = {
     ...nativeResponseFormat,
     cut: (response: ServerResponse) => openResponses.cut(response),
@@ -79,7 +80,6 @@
     // Node.js passes on the rest of what it has read of a connection that was closed.
     if (request.socket.destroyed) return;
     const disconnect = disconnectSignalOf(request, response);
-    const exchange = openResponses.add(request, response);
     if (hasBody(request)) options.unreadBodies.follow(request, response, BODY_LIMITS);
     const recordEnd = options.metrics.requestStarted();
     const shutdownPhase = options.shutdownPhase();
@@ -93,7 +93,8 @@
       if (shutdownPhase === 'ended' || (shutdownPhase === 'refusing' && parsed.parent === undefined))
         return refuseDuringShutdown(parsed, response);
       const body = hasBody(request) ? new CallerBody(clock, request, response, BODY_LIMITS) : EMPTY_BODY;
-      exchange.isPassedOn = true;
+      const exchange = exchanges.get(response);
+      if (exchange) exchange.isPassedOn = true;
       const parts = options.ingress.handle(parsed, body, disconnect.signal);
       const refusal = await writeResponseParts(response, parts, writer);
       recordEnd(parsed.service, refusal);
@@ -129,6 +130,10 @@
     },
     created(this: Service) {
       options.pipelined.watch(serverOf(this));
+      // moleculer-web serves a request only after the rest of the read has been parsed, which may be invalid.
+      serverOf(this).prependListener('request', (request, response) =>
+        exchanges.set(response, openResponses.add(request, response)),
+      );
       handleParserErrors(serverOf(this), openResponses, clock);
     },
   };
--- a/tests/nativeInterface.spec.ts
+++ b/tests/nativeInterface.spec.ts
@@ -109,6 +109,23 @@
     };
   });
 
+  // Guards against requests that are accepted before the first of them is served, and are more than the daemon keeps.
+  it('serves the pipelined requests that it accepts, and refuses the first of the others', async () => {
+    upstream.respond = socket => void socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok');
+    const caller = openConnection(daemon.addresses.caller);
+    const head = 'GET /history/trucks/7 HTTP/1.1\r\nHost: x\r\ncleatquay-timeout-ms: 4000\r\n\r\n';
+    caller.socket.write(head.repeat(12_000));
+    await caller.closed;
+    expect(caller.end).to.equal('ordinary');
+    const [last, ...earlier] = caller.bytes
+      .toString('latin1')
+      .split(/(?=HTTP\/1\.1 )/)
+      .reverse();
+    expect(last).to.match(/^HTTP\/1.1 503 [^]*connection: close/);
+    expect(earlier.length).to.be.within(16, 1000);
+    expect(upstream.requests.length).to.be.at.most(earlier.length);
+  });
+
   // Guards against a part of an announcement that registers another upstream.
   it('takes no announcement whose connection ends before its last byte', async () => {
     const body = JSON.stringify({
