Measure processor time around handlers instead of running them

Change: handlers call enter and leave of a meter, which ProcessorTime implements; the closures are gone.

--- a/packages/calls/src/frameStream.ts
+++ b/packages/calls/src/frameStream.ts
@@ -2,7 +2,7 @@
  * Length-prefixed frames over TCP: a length of four bytes, big-endian, followed by the encoded message. Compared with a
  * gRPC stream, they save an eighth of the CPU time of a call (docs/design/call-cost.md).
  */
-import { type MeasureWork, runUnmeasured } from '@cleatquay/clock';
+import { NO_METER } from '@cleatquay/clock';
 import { LinkFrame } from '@cleatquay/protocol';
 import { type Socket } from 'node:net';
 
@@ -33,11 +33,18 @@
   constructor(
     private readonly socket: Socket,
     private readonly events: FrameStreamEvents,
-    private readonly measure: MeasureWork = runUnmeasured,
+    private readonly meter = NO_METER,
   ) {
     socket.setNoDelay(true);
     socket.setKeepAlive(true, TCP_KEEP_ALIVE_DELAY_MS);
-    socket.on('data', (chunk: Buffer) => measure('links', () => this.receive(chunk)));
+    socket.on('data', (chunk: Buffer) => {
+      const isMeasured = meter.enter('links');
+      try {
+        this.receive(chunk);
+      } finally {
+        if (isMeasured) meter.leave();
+      }
+    });
     socket.on('end', () => this.end('ended the link'));
     socket.on('error', error => this.end(`failed with a connection error: ${error.message}`));
     socket.on('close', () => this.end('closed the link'));
@@ -45,7 +52,13 @@
 
   /** Sends a frame; does nothing once the stream has ended. */
   write(frame: LinkFrame): void {
-    if (!this.ended) this.measure('links', () => this.writeFrame(frame));
+    if (this.ended) return;
+    const isMeasured = this.meter.enter('links');
+    try {
+      this.writeFrame(frame);
+    } finally {
+      if (isMeasured) this.meter.leave();
+    }
   }
 
   private writeFrame(frame: LinkFrame): void {
--- a/packages/calls/src/linkClient.ts
+++ b/packages/calls/src/linkClient.ts
@@ -1,5 +1,5 @@
 /** The client side of a link: a long-lived TCP connection to one peer that multiplexes many calls. */
-import { type CancelSignal, type Clock, type MeasureWork, SendTime, runUnmeasured } from '@cleatquay/clock';
+import { type CancelSignal, type Clock, NO_METER, SendTime } from '@cleatquay/clock';
 import {
   type AnswerPart,
   type ConfigurationAnswer,
@@ -77,12 +77,12 @@
     /** Called once when the link has ended. */
     private readonly onEnd: () => void,
     private readonly streamMemory = new StreamMemory(),
-    /** Runs the handlers of frames and of responses. */
-    private readonly measure: MeasureWork = runUnmeasured,
+    /** Measures the handlers of frames and of responses. */
+    private readonly meter = NO_METER,
   ) {
     this.lastReceivedAt = clock.now();
     const onFrame = (frame: LinkFrame) => this.handleFrame(frame);
-    this.stream = new FrameStream(socket, { onFrame, onEnd: reason => this.fail(reason) }, measure);
+    this.stream = new FrameStream(socket, { onFrame, onEnd: reason => this.fail(reason) }, meter);
     const sendTime = new SendTime(clock);
     this.writer = new FrameWriter(items => this.stream.write({ items, sentAt: toSentAt(sendTime.now()) }));
   }
@@ -264,7 +264,16 @@
     if (credit > 0) call?.window?.release(credit);
     if (!part || !call) return;
     if (call.laterParts) call.laterParts.push(part);
-    else this.measure('calls', () => call.onFirstPart(part));
+    else this.handleFirstPart(call, part);
+  }
+
+  private handleFirstPart(call: PendingCall, part: AnswerPart): void {
+    const isMeasured = this.meter.enter('calls');
+    try {
+      call.onFirstPart(part);
+    } finally {
+      if (isMeasured) this.meter.leave();
+    }
   }
 
   private handleConfiguration(number: number, configuration: ConfigurationAnswer): void {
--- a/packages/calls/src/linkServer.ts
+++ b/packages/calls/src/linkServer.ts
@@ -1,11 +1,5 @@
 /** The server side of a link. */
-import {
-  CALLER_DISCONNECTED,
-  Cancellation,
-  type Clock,
-  type MeasureWork,
-  runUnmeasured,
-} from '@cleatquay/clock';
+import { CALLER_DISCONNECTED, Cancellation, type Clock, NO_METER, type WorkMeter } from '@cleatquay/clock';
 import {
   type AnswerPart,
   type ConfigurationAnswer,
@@ -43,8 +37,8 @@
   readonly clock: Clock;
   readonly handle: CallHandler;
   readonly scheduler: RequestScheduler;
-  /** Runs the handlers of frames and of calls. */
-  readonly measure?: MeasureWork;
+  /** Measures the handlers of frames and of calls. */
+  readonly meter?: WorkMeter;
   /** Identifies this process to the peer; see `ProcessIdentity`. */
   readonly process: string;
   /** Returns what the peer's configuration lacks of this daemon's. */
@@ -58,17 +52,17 @@
   private readonly writer: FrameWriter;
   private readonly stream: FrameStream;
   private readonly transitDelays: TransitDelays;
-  private readonly measure: MeasureWork;
+  private readonly meter: WorkMeter;
 
   constructor(
     socket: Socket,
     private readonly options: LinkServerOptions,
   ) {
     this.transitDelays = new TransitDelays(options.clock);
-    this.measure = options.measure ?? runUnmeasured;
+    this.meter = options.meter ?? NO_METER;
     const onFrame = ({ items, sentAt }: LinkFrame) =>
       this.handleFrame(items, this.transitDelays.measure(sentAt));
-    this.stream = new FrameStream(socket, { onFrame, onEnd: () => this.cancelCalls() }, this.measure);
+    this.stream = new FrameStream(socket, { onFrame, onEnd: () => this.cancelCalls() }, this.meter);
     this.writer = new FrameWriter(items => this.stream.write({ items, sentAt: 0 }));
   }
 
@@ -109,10 +103,12 @@
     };
     call.requestParts?.push(first);
     this.calls.set(number, call);
-    this.measure(
-      'calls',
-      () => void this.processCall(number, call, first, head).finally(() => this.calls.delete(number)),
-    );
+    const isMeasured = this.meter.enter('calls');
+    try {
+      void this.processCall(number, call, first, head).finally(() => this.calls.delete(number));
+    } finally {
+      if (isMeasured) this.meter.leave();
+    }
   }
 
   /**
--- a/packages/calls/src/peerServer.ts
+++ b/packages/calls/src/peerServer.ts
@@ -7,7 +7,7 @@
   type SealAnswer,
   type SealRequest,
 } from '@cleatquay/protocol';
-import { type Clock, type MeasureWork, runUnmeasured } from '@cleatquay/clock';
+import { type Clock, NO_METER, type WorkMeter } from '@cleatquay/clock';
 import { Server, ServerCredentials, status } from '@grpc/grpc-js';
 import { type AddressInfo, type Server as TcpServer, type Socket, createServer } from 'node:net';
 import { type CallHandler } from './callHandler.js';
@@ -21,8 +21,8 @@
   readonly exchange: CallHandler;
   readonly scheduler: RequestScheduler;
   readonly process: ProcessIdentity;
-  /** Runs the handlers of links. */
-  readonly measure?: MeasureWork | undefined;
+  /** Measures the handlers of links. */
+  readonly meter?: WorkMeter | undefined;
   readonly seal: (request: SealRequest) => Promise<SealAnswer>;
   readonly configuration: (request: ConfigurationRequest) => ConfigurationAnswer;
 }
@@ -92,9 +92,9 @@
   }
 
   private serveLink(socket: Socket, first: Buffer): void {
-    const { exchange: handle, scheduler, configuration, clock, measure = runUnmeasured } = this.handlers;
+    const { exchange: handle, scheduler, configuration, clock, meter = NO_METER } = this.handlers;
     const process = this.handlers.process.id;
-    const link = new LinkServer(socket, { clock, handle, scheduler, process, configuration, measure });
+    const link = new LinkServer(socket, { clock, handle, scheduler, process, configuration, meter });
     this.links.set(socket, link);
     socket.once('close', () => this.links.delete(socket));
     link.receive(first);
--- a/packages/calls/src/peers.ts
+++ b/packages/calls/src/peers.ts
@@ -3,9 +3,9 @@
   type CancelSignal,
   Cancellation,
   type Clock,
-  type MeasureWork,
   NO_LONGER_NEEDED,
   type Timer,
+  type WorkMeter,
 } from '@cleatquay/clock';
 import {
   type ConfigurationAnswer,
@@ -63,8 +63,8 @@
     private readonly pacer: StreamPacer,
     /** Called with the address of a peer when the link to it has ended. */
     private readonly onLinkLost: (address: string) => void = () => undefined,
-    /** Runs the handlers of links. */
-    private readonly measure?: MeasureWork,
+    /** Measures the handlers of links. */
+    private readonly meter?: WorkMeter,
   ) {}
 
   /** Makes one call to a peer. Rejects with ConnectionLoss if the call ends before its last part. */
@@ -217,7 +217,7 @@
       socket,
       () => this.onLinkEnd(address, link),
       this.pacer.memory,
-      this.measure,
+      this.meter,
     );
     const timer = this.clock.after(CONNECT_TIMEOUT_MS, () => link.fail('did not respond in time'));
     try {
--- a/packages/clock/src/clock.ts
+++ b/packages/clock/src/clock.ts
@@ -2,7 +2,7 @@
 
 import { uptime } from 'node:os';
 import { type CancelSignal } from './cancellation.js';
-import { type MeasureWork, runUnmeasured } from './measuredWork.js';
+import { NO_METER, type WorkMeter } from './measuredWork.js';
 import { SharedTimeout, type SharingTimer } from './sharedTimeout.js';
 
 /** A timer; disposing of it cancels it. */
@@ -70,8 +70,8 @@
 
   constructor(
     private readonly sources = MACHINE_TIME,
-    /** Runs the actions of timers. */
-    private readonly measure: MeasureWork = runUnmeasured,
+    /** Measures the actions of timers. */
+    private readonly meter = NO_METER,
   ) {
     this.startedAt = sources.monotonic();
     this.dateOffset = sources.date() - this.startedAt;
@@ -108,12 +108,12 @@
   }
 
   private createTimer(ms: number, action: () => void): SystemTimer {
-    return new SystemTimer(this.pendingTimers, this.now() + ms, ms, action, this.measure);
+    return new SystemTimer(this.pendingTimers, this.now() + ms, ms, action, this.meter);
   }
 
   private createSharingTimer(ms: number, action: () => void): Timer {
-    const { sharedTimeout, measure } = this;
-    const timer = new DeadlineTimer(sharedTimeout.pending, this.now() + ms, ms, action, measure);
+    const { sharedTimeout, meter } = this;
+    const timer = new DeadlineTimer(sharedTimeout.pending, this.now() + ms, ms, action, meter);
     sharedTimeout.add(timer);
     return timer;
   }
@@ -162,14 +162,19 @@
     readonly dueAt: number,
     ms: number,
     private readonly action: () => void,
-    private readonly measure: MeasureWork,
+    private readonly meter: WorkMeter,
   ) {
     this.timeoutAt = performance.now() + ms;
   }
 
   fire(): void {
     this[Symbol.dispose]();
-    this.measure('timers', this.action);
+    const isMeasured = this.meter.enter('timers');
+    try {
+      this.action();
+    } finally {
+      if (isMeasured) this.meter.leave();
+    }
   }
 
   [Symbol.dispose](): void {
@@ -187,7 +192,7 @@
     readonly dueAt: number,
     ms: number,
     private readonly action: () => void,
-    private readonly measure: MeasureWork,
+    private readonly meter: WorkMeter,
   ) {
     this.timeout = setTimeout(fireTimer, ms, this);
     pendingTimers.add(this);
@@ -195,7 +200,12 @@
 
   fire(): void {
     this[Symbol.dispose]();
-    this.measure('timers', this.action);
+    const isMeasured = this.meter.enter('timers');
+    try {
+      this.action();
+    } finally {
+      if (isMeasured) this.meter.leave();
+    }
   }
 
   [Symbol.dispose](): void {
--- a/packages/daemon/src/daemonCore.ts
+++ b/packages/daemon/src/daemonCore.ts
@@ -26,7 +26,7 @@
   type UploadBudget,
   withUploadIntake,
 } from '@cleatquay/calls';
-import { type CancelSignal, type Clock, type MeasureWork, type Random } from '@cleatquay/clock';
+import { type CancelSignal, type Clock, type Random, type WorkMeter } from '@cleatquay/clock';
 import { Quarantine, type QuarantineTable } from '@cleatquay/quarantine';
 import { type Freshness, type Moment } from '@cleatquay/configuration';
 import {
@@ -78,8 +78,8 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Logger;
-  /** Runs the handlers of links. */
-  readonly measure?: MeasureWork;
+  /** Measures the handlers of links. */
+  readonly meter?: WorkMeter;
   readonly upstreams: Pick<
     UpstreamsOptions,
     'protection' | 'heartbeatMs' | 'slowStart' | 'classes' | 'bounds' | 'checkAddress' | 'onDeparture'
@@ -214,7 +214,7 @@
     this.attempts = new AttemptRegistry(clock, options.attemptRetentionMs);
     this.delimiters = new DelimiterHistory(options.onDelimiterEvidence);
     const onLinkLost = (address: string) => this.forwarder.notices.linkEnded(address);
-    this.peers = new Peers(clock, isPartitioned, pacer, onLinkLost, options.measure);
+    this.peers = new Peers(clock, isPartitioned, pacer, onLinkLost, options.meter);
     this.router = new Router({
       clock,
       random,
@@ -280,7 +280,7 @@
       seal: request => requireCore(started).upstreamDispatcher.seal(request),
       configuration: options.createConfigurationResponse,
       scheduler: options.scheduler,
-      measure: options.measure,
+      meter: options.meter,
     });
     const port = await server.listen(ip, innerPort);
     started.core = new DaemonCore(options, process, server, datagrams, `${ip}:${String(port)}`);
--- a/packages/daemon/src/processorTime.ts
+++ b/packages/daemon/src/processorTime.ts
@@ -1,7 +1,7 @@
 /**
  * What a daemon's processor time is spent on.
  *
- * Handlers of events run through `measure`, and the continuations of promises that they resolve are attributed to the handler that ran last, up to the
+ * Handlers of events call `enter` and `leave`, and the continuations of promises that they resolve are attributed to the handler that ran last, up to the
  * end of that event. One of `SAMPLE_INTERVAL` events of a kind is measured, and stands for the others: in the code of a young process, measuring an event takes
  * some microseconds.
  *
@@ -9,7 +9,7 @@
  * membership, health checks, and system calls of node's own. Handlers are timed by a monotonic clock, so that on a busy machine they include
  * time in which other processes ran; the rest is then too small. Garbage collection runs inside of other work, and is reported beside it.
  */
-import { type Clock, type EventKind, type MeasureWork, type Timer, type WorkKind } from '@cleatquay/clock';
+import { type Clock, type EventKind, type Timer, type WorkKind, type WorkMeter } from '@cleatquay/clock';
 import { type Metrics } from './metrics.js';
 
 /** What processor time is attributed to. */
@@ -41,7 +41,7 @@
 };
 
 /** Measures the work of one process. */
-export class ProcessorTime {
+export class ProcessorTime implements WorkMeter {
   private readonly spent: Record<WorkKind, number> = {
     requests: 0,
     calls: 0,
@@ -55,6 +55,8 @@
   private since = 0;
   /** The kind of the handler of this event that began last. */
   private latest: WorkKind = 'timers';
+  /** The kinds that the work inside of which other work runs is attributed to, outermost first. */
+  private readonly outer: (WorkKind | undefined)[] = [];
   /** Whether the current event is measured. */
   private isMeasured = false;
   private readonly events: Record<EventKind, number> = { requests: 0, links: 0, timers: 0 };
@@ -65,34 +67,19 @@
 
   constructor(private readonly sources = PROCESS_TIME) {}
 
-  /** Runs work and attributes its time. */
-  readonly measure: MeasureWork = (kind, work) => {
-    if (this.isMeasured) this.measureNested(kind, work);
-    else if (beginsEvent(kind) && this.events[kind]++ % SAMPLE_INTERVAL === 0) this.measureEvent(kind, work);
-    else work();
-  };
-
-  private measureEvent(kind: WorkKind, work: () => void): void {
-    this.isMeasured = true;
+  enter(kind: WorkKind): boolean {
+    if (this.isMeasured) this.outer.push(this.current);
+    else if (beginsEvent(kind) && this.events[kind]++ % SAMPLE_INTERVAL === 0) this.isMeasured = true;
+    else return false;
     this.latest = kind;
     this.switchTo(kind);
-    try {
-      work();
-    } finally {
-      this.switchTo(this.latest);
-      this.sources.afterPromises(this.closeEvent);
-    }
+    return true;
   }
 
-  private measureNested(kind: WorkKind, work: () => void): void {
-    const outer = this.current;
-    this.latest = kind;
-    this.switchTo(kind);
-    try {
-      work();
-    } finally {
-      this.switchTo(outer);
-    }
+  leave(): void {
+    if (this.outer.length > 0) return this.switchTo(this.outer.pop());
+    this.switchTo(this.latest);
+    this.sources.afterPromises(this.closeEvent);
   }
 
   /** Attributes all time until now to the start of the process. */
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -87,7 +87,7 @@
   readonly random: Random;
   readonly log: Logger;
   readonly platformAdapter: PlatformAdapter;
-  /** The measurement that the clock's timers run through, too. */
+  /** Measures the timers of the clock, too. */
   readonly processorTime?: ProcessorTime;
 }
 
@@ -166,7 +166,7 @@
       isShuttingDown: () => this.shutdown.hasStarted,
       scheduler: this.processor.scheduler,
       clock,
-      measure: this.processor.time.measure,
+      meter: this.processor.time,
       onRequestStart: () => this.onRequestStart(),
       closeLog: this.closeLog,
       unreadBodies: new UnreadBodies({ clock, metrics, log: warn }),
@@ -282,7 +282,7 @@
       clock,
       random,
       log,
-      measure: this.processor.time.measure,
+      meter: this.processor.time,
       upstreams: {
         protection: true,
         heartbeatMs: settings.heartbeatMs,
--- a/packages/daemon/src/relayGateway.ts
+++ b/packages/daemon/src/relayGateway.ts
@@ -7,7 +7,7 @@
   type RequestScheduler,
   forwardedRawHeaders,
 } from '@cleatquay/calls';
-import { type Clock, type MeasureWork, runUnmeasured } from '@cleatquay/clock';
+import { type Clock, NO_METER, type WorkMeter } from '@cleatquay/clock';
 import { Failure, asFailure } from '@cleatquay/errors';
 import { type Refusal, createRefusal } from '@cleatquay/protocol';
 import { type Credentials, parseCredentials } from '@cleatquay/organisations';
@@ -65,8 +65,8 @@
   readonly isShuttingDown: () => boolean;
   readonly scheduler: RequestScheduler;
   readonly clock: Clock;
-  /** Runs the handlers of requests, and the writing of refusals. */
-  readonly measure?: MeasureWork;
+  /** Measures the handlers of requests, and the writing of refusals. */
+  readonly meter?: WorkMeter;
   /** Called at the start of each request; the function that it returns is called when the request has ended. */
   readonly onRequestStart: () => (refusal: Refusal | undefined) => void;
   /** Called when a response is cut: it ends before its body is complete. */
@@ -87,7 +87,7 @@
   private hasEverNeededKeys = false;
 
   constructor(private readonly options: RelayGatewayOptions) {
-    const { onResponseCut, onDeliveryEnd, closeLog, measure = runUnmeasured } = options;
+    const { onResponseCut, onDeliveryEnd, closeLog, meter = NO_METER } = options;
     const { strippedHeaders, credentialsHeader, responseFormat, requestId } = options.dialect;
     this.openResponses = new OpenResponses({
       closeLog,
@@ -96,13 +96,28 @@
     });
     this.responseWriter = {
       ...responseFormat,
-      refusal: (response, refusal) => measure('refusals', () => responseFormat.refusal(response, refusal)),
+      refusal: (response, refusal) => {
+        const isMeasured = meter.enter('refusals');
+        try {
+          responseFormat.refusal(response, refusal);
+        } finally {
+          if (isMeasured) meter.leave();
+        }
+      },
       cut: response => this.openResponses.cut(response),
       collector: new ResponseCollector(),
     };
     this.strippedWithKeys = new Set([...strippedHeaders, credentialsHeader]);
-    this.server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0 }, (request, response) =>
-      measure('requests', () => void this.serve(request, response)),
+    this.server = createServer(
+      { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0 },
+      (request, response) => {
+        const isMeasured = meter.enter('requests');
+        try {
+          void this.serve(request, response);
+        } finally {
+          if (isMeasured) meter.leave();
+        }
+      },
     );
     options.pipelined.watch(this.server);
     handleParserErrors(this.server, this.openResponses, options.clock);
--- a/tests/processorTime.spec.ts
+++ b/tests/processorTime.spec.ts
@@ -1,4 +1,4 @@
-import { ManualClock } from '@cleatquay/clock';
+import { ManualClock, type WorkKind, type WorkMeter } from '@cleatquay/clock';
 import { ProcessorTime, ProcessorTimeLog, SAMPLE_INTERVAL } from '@cleatquay/daemon';
 import { expect } from 'chai';
 
@@ -34,9 +34,9 @@
 
   describe('ProcessorTime', () => {
     it('attributes nested work to its own kind only, so that nothing counts twice', () => {
-      time.measure('links', () => {
+      measure(time, 'links', () => {
         work(1);
-        time.measure('calls', () => work(10));
+        measure(time, 'calls', () => work(10));
         work(2);
       });
       endEvent();
@@ -44,7 +44,7 @@
     });
 
     it('attributes the continuations of promises to the handler that ran last, but no later event', () => {
-      time.measure('links', () => time.measure('calls', () => work(1)));
+      measure(time, 'links', () => measure(time, 'calls', () => work(1)));
       work(4);
       endEvent();
       work(7);
@@ -52,8 +52,8 @@
     });
 
     it('resumes the kind of the continuation after work that it runs', () => {
-      time.measure('requests', () => work(1));
-      time.measure('refusals', () => work(2));
+      measure(time, 'requests', () => work(1));
+      measure(time, 'refusals', () => work(2));
       work(3);
       endEvent();
       expect(uses()).to.deep.equal({ ...ZERO, requests: 4, refusals: 2 });
@@ -64,7 +64,7 @@
         work(1);
         throw new Error('expected');
       };
-      expect(() => time.measure('timers', fail)).to.throw('expected');
+      expect(() => measure(time, 'timers', fail)).to.throw('expected');
       endEvent();
       work(5);
       expect(uses()).to.deep.equal({ ...ZERO, timers: 1, rest: 5 });
@@ -73,11 +73,11 @@
     it('measures one of several events of a kind, and nothing within the others', () => {
       const events = 3 * SAMPLE_INTERVAL;
       for (let i = 0; i < events; i++) {
-        time.measure('links', () => {
+        measure(time, 'links', () => {
           nowMs += 1;
-          time.measure('calls', () => (nowMs += 2));
+          measure(time, 'calls', () => (nowMs += 2));
         });
-        time.measure('refusals', () => (nowMs += 5));
+        measure(time, 'refusals', () => (nowMs += 5));
         endEvent();
       }
       usedMs = nowMs;
@@ -87,21 +87,21 @@
 
     it('counts all time until the daemon listens as its start', () => {
       work(100);
-      time.measure('timers', () => work(5));
+      measure(time, 'timers', () => work(5));
       endEvent();
       time.startEnded();
-      time.measure('requests', () => work(1));
+      measure(time, 'requests', () => work(1));
       expect(uses()).to.deep.equal({ ...ZERO, start: 105, requests: 1 });
     });
 
     it('reports no negative rest when handlers waited for the processor', () => {
-      time.measure('requests', () => (nowMs += 50));
+      measure(time, 'requests', () => (nowMs += 50));
       expect(uses().rest).to.equal(0);
     });
 
     it('attributes the continuation of a promise in a running process, and nothing after it', async () => {
       const running = new ProcessorTime();
-      running.measure('requests', () => void Promise.resolve().then(spin).then(spin));
+      measure(running, 'requests', () => void Promise.resolve().then(spin).then(spin));
       await new Promise(setImmediate);
       spin();
       const requests = (running.byUse.get('requests') ?? 0) / SAMPLE_INTERVAL;
@@ -156,6 +156,16 @@
   });
 });
 
+/** Runs a handler and measures it, as daemons do. */
+function measure(meter: WorkMeter, kind: WorkKind, work: () => void): void {
+  const isMeasured = meter.enter(kind);
+  try {
+    work();
+  } finally {
+    if (isMeasured) meter.leave();
+  }
+}
+
 /** Nothing used. */
 const ZERO = { start: 0, requests: 0, calls: 0, refusals: 0, links: 0, timers: 0, rest: 0 };
 
