Measure an odd share of the events

Cause: a daemon with 50 requests reported no time for calls. One of eight events of links was measured, and frames were read and written by turns, so that the sample had only one of the two.

Change: one of seven events of a kind is measured.

Result: the new test has both sorts of alternating events in the sample, in equal shares.

--- a/packages/daemon/src/processorTime.ts
+++ b/packages/daemon/src/processorTime.ts
@@ -25,8 +25,8 @@
   readonly afterPromises: (action: () => void) => void;
 }
 
-/** One of this many events of each kind is measured. */
-export const SAMPLE_INTERVAL = 8;
+/** One of this many events of each kind is measured. Odd, since frames are often read and written by turns: an even one would measure only either. */
+export const SAMPLE_INTERVAL = 7;
 
 const RESOLVED = Promise.resolve();
 
--- a/tests/processorTime.spec.ts
+++ b/tests/processorTime.spec.ts
@@ -85,6 +85,18 @@
       expect(Object.fromEntries(time.byUse)).to.deep.equal(expected);
     });
 
+    // Guards against a sample that has only the reading of frames, or only the writing.
+    it('measures events of both sorts if two sorts of a kind alternate', () => {
+      for (let i = 0; i < 20 * SAMPLE_INTERVAL; i++) {
+        measure(time, 'links', () => {
+          if (i % 2 === 0) measure(time, 'calls', () => work(1));
+          else work(1);
+        });
+        endEvent();
+      }
+      expect(uses()).to.include({ calls: 10, links: 10 });
+    });
+
     it('counts all time until the daemon listens as its start', () => {
       work(100);
       measure(time, 'timers', () => work(5));
