Send the written part of a response that is cut in the same iteration of the event loop

Cause: Node.js corks the connection at the first write of a response until the next tick. Where the upstream had failed by the time at which the beginning of its response (over 64 KiB) was passed on, the response was cut before that tick, and its head and beginning were dropped: the caller of a request that had been passed on saw its connection closed with no byte. The tests of cut responses waited 20 ms before the end of the parts and missed it.

Change: OpenResponses.cut uncorks the connection first if a length or chunks show that a part is missing. A response without a body, or with as many bytes as its head states, is dropped as before, so that nothing looks complete.

Measured: the two new tests (with a length, in chunks) failed on the former code with status 0 and pass now; 107 tests of cut, pipelined, slow, unread and ended responses pass, beside load 15 to 20.

--- a/packages/daemon/src/openResponses.ts
+++ b/packages/daemon/src/openResponses.ts
@@ -35,6 +35,23 @@
   readonly isWhole: boolean;
 }
 
+/**
+ * Sends what has been written of a response that is being cut. Node.js holds back what is written in one iteration of the event loop, and drops it
+ * when the connection is closed: a caller would get no response at all where its upstream fails right after the beginning.
+ */
+function sendWritten(response: ServerResponse): void {
+  const delivery = deliveryOf(response);
+  if (!delivery || !lacksEnd(delivery)) return;
+  const { socket } = response;
+  while (socket && socket.writableCorked > 0) socket.uncork();
+}
+
+/** Whether what has been written shows that a part of the body is missing. */
+function lacksEnd({ delimiter, length, bodyBytes }: ResponseDelivery): boolean {
+  if (delimiter === 'no-body') return false;
+  return length === undefined || bodyBytes < length;
+}
+
 /** Dependencies of the register. */
 export interface OpenResponsesOptions {
   readonly onDeliveryEnd: (request: IncomingMessage, end: DeliveryEnd) => void;
@@ -76,6 +93,7 @@
   cut(response: ServerResponse): void {
     if (response.destroyed || response.writableFinished) return;
     const { req: request } = response;
+    sendWritten(response);
     const { bytesWritten } = request.socket;
     this.options.onCut(request, { bytesWritten, delimiter: deliveryOf(response)?.delimiter });
     noteClose(request.socket, 'cutResponse');
--- a/tests/cutResponses.spec.ts
+++ b/tests/cutResponses.spec.ts
@@ -101,6 +101,25 @@
     });
   }
 
+  // Guards against a connection that is closed with no byte of the response: its head is written, but not sent yet.
+  for (const [name, stated] of Object.entries({ 'with a length': LONG_BODY.length, 'in chunks': undefined }))
+    it(`begins though its upstream has failed by then, ${name}, also on a kept connection`, async () => {
+      length = stated;
+      rest = () => ({ [Symbol.asyncIterator]: () => ({ next: () => Promise.reject(new Error('lost')) }) });
+      const { status, looksWhole } = await endOf(send('/x'));
+      expect([status, looksWhole]).to.deep.equal([200, false]);
+      const caller = send('/long');
+      const received: Buffer[] = [];
+      caller.on('data', (chunk: Buffer) => received.push(chunk));
+      while (Buffer.concat(received).length < LONG_BODY.length) await once(caller, 'data');
+      await sleep(50);
+      received.length = 0;
+      const ended = endOf(caller);
+      caller.write('GET /x HTTP/1.1\r\nHost: history.example\r\nRequest-Id: kept\r\n\r\n');
+      const later = await ended;
+      expect([later.status, later.looksWhole]).to.deep.equal([200, false]);
+    });
+
   it('lacks its last chunk if the daemon closes its connections', async () => {
     rest = () => endlessParts();
     const caller = send('/x');
