Remove the code cache of the last build before a build

Cause: a daemon of a new bundle ran the code of the earlier one: it measured one of eight events where the source said seven. V8 recognises the source of a code cache by its length only. The build loads the new bundle with the old cache, and writes that code into the new cache.

Change: the bundle script deletes the cache first.

--- a/utils/bundle.mjs
+++ b/utils/bundle.mjs
@@ -4,7 +4,7 @@
  */
 import { build } from 'esbuild';
 import { spawnSync } from 'node:child_process';
-import { copyFileSync, mkdirSync, readFileSync } from 'node:fs';
+import { copyFileSync, mkdirSync, readFileSync, rmSync } from 'node:fs';
 import { resolve } from 'node:path';
 import { DeferredModules } from './deferredModules.mjs';
 
@@ -93,6 +93,8 @@
 };
 
 mkdirSync('target', { recursive: true });
+// V8 recognises the source of a cache by its length only: with the cache of an earlier build of equal length, a daemon would run the earlier code.
+rmSync('target/daemon.cache', { force: true });
 await build({
   ...common,
   entryPoints: ['platform/src/main.ts'],
