Let the test of streams in a busy process wait for the pause, and keep tests of StreamPacer apart

Cause: the test advanced its clock before the pause had begun, and passed only since the stream of the test before it went on and added to its list.

Change: it waits one more iteration of the event loop, after which the slice has ended; streams that go on after their test keep its clock and list. The check is the same, and now judges its own stream only.

--- a/tests/streamPacer.spec.ts
+++ b/tests/streamPacer.spec.ts
@@ -19,15 +19,16 @@
     taken = [];
   });
 
-  /** Takes pieces without end, each of which costs time. */
+  /** Takes pieces without end, each of which costs time. It goes on after its test, whose clock and list it keeps. */
   const take = async (stream: string, bytes = PART_BYTES, costMs = PART_COST_MS) => {
+    const [ownClock, ownTaken] = [clock, taken];
     async function* endless() {
       for (;;) yield bytes;
     }
     for await (const piece of pacer.pace(endless(), length => length)) {
-      if (piece !== bytes || taken.length > 10_000) return;
-      taken.push(stream);
-      clock.advance(costMs);
+      if (piece !== bytes || ownTaken.length > 10_000) return;
+      ownTaken.push(stream);
+      ownClock.advance(costMs);
     }
   };
 
@@ -65,6 +66,8 @@
   it('still passes streams on in a process that is short of processor time', async () => {
     void take('a', PART_BYTES, 1000);
     await nextIteration();
+    // The slice ends, and the pause begins, behind this iteration.
+    await nextIteration();
     const before = taken.length;
     clock.advance(20);
     await nextIteration();
