Send no call whose deadline passes between two readings of the clock

Cause: a call was sent if its deadline had not passed, and the time left was read again for the message. If the process got no processor time in between, the message held a negative time, which its encoding refuses: 'invalid uint32: -31', thrown where the frames of an iteration are written and nothing handles it. Found by the review.

Change: the time is read once; a call that has none left is refused.

--- a/packages/calls/src/forwarder.ts
+++ b/packages/calls/src/forwarder.ts
@@ -136,6 +136,8 @@
   ): Promise<CallResponse | FailedAttempt> {
     const { router, decisionTrace, quarantine } = this.options;
     const { remainingMs, isRepeat, tokensToSend } = call;
+    // It may pass between two readings of the clock, and a message can't hold a negative time.
+    if (remainingMs <= 0) return call.refuseUnsent('deadline');
     const retainedTokens = call.tokens - tokensToSend;
     const attemptContext: CallContext = {
       ...context,
