--- a/packages/calls/src/frameStream.ts
+++ b/packages/calls/src/frameStream.ts
@@ -62,7 +62,8 @@
   }
 
   private writeFrame(frame: LinkFrame): void {
-    const message = LinkFrame.encode(frame).finish();
+    const message = this.encodeFrame(frame);
+    if (!message) return;
     if (message.length <= MAX_COPIED_MESSAGE_BYTES) {
       const bytes = Buffer.allocUnsafe(LENGTH_BYTES + message.length);
       bytes.writeUInt32BE(message.length, 0);
@@ -78,6 +79,16 @@
     this.socket.uncork();
   }
 
+  /** Ends the stream if the frame can't be encoded: what it defines, and the calls in it, would be missing to the peer. */
+  private encodeFrame(frame: LinkFrame): Uint8Array | undefined {
+    try {
+      return LinkFrame.encode(frame).finish();
+    } catch (error) {
+      this.end(`got a frame that cannot be encoded: ${String(error)}`);
+      return undefined;
+    }
+  }
+
   /** Closes the connection at once. */
   close(): void {
     this.ended = true;
@@ -124,7 +135,13 @@
     } catch (error) {
       return this.end(`sent a frame that cannot be decoded: ${String(error)}`);
     }
-    this.events.onFrame(frame);
+    try {
+      this.events.onFrame(frame);
+    } catch (error) {
+      // Its bytes are still in the buffer, and would be handled again with the next ones.
+      this.end(`sent a frame that could not be handled: ${String(error)}`);
+      throw error;
+    }
   }
 
   private end(reason: string): void {
--- a/tests/frameStream.spec.ts
+++ b/tests/frameStream.spec.ts
@@ -83,4 +83,41 @@
     expect(endReasons).to.have.lengthOf(1);
     expect(isClosed).to.equal(true);
   });
+
+  // Guards against an exception that nothing handles, and against later frames that refer to what this one defines.
+  it('ends when a frame can not be encoded', () => {
+    const ends: string[] = [];
+    const socket = fakeSocket();
+    const stream = new FrameStream(socket as never, {
+      onFrame: () => undefined,
+      onEnd: reason => ends.push(reason),
+    });
+    stream.write({ items: [{ ...EMPTY_ITEM, credit: -1 }], sentAt: 0 });
+    stream.write(frameWith(1, 10));
+    expect(ends).to.have.lengthOf(1);
+    expect(socket.written).to.deep.equal([]);
+    expect(socket.destroyed).to.equal(true);
+  });
+
+  // Guards against calls that are handled twice after an exception.
+  it('handles no frame again after one whose handler has thrown', () => {
+    const sender = fakeSocket();
+    const events = { onFrame: () => undefined, onEnd: () => undefined };
+    const writer = new FrameStream(sender as never, events);
+    for (const pong of [1, 2, 3]) writer.write(frameWith(pong, 10));
+    const received: LinkFrame[] = [];
+    const ends: string[] = [];
+    const reader = new FrameStream(fakeSocket() as never, {
+      onFrame: frame => {
+        received.push(frame);
+        if (received.length === 2) throw new Error('Test: a handler that throws.');
+      },
+      onEnd: reason => ends.push(reason),
+    });
+    const [first, second, third] = sender.written as [Uint8Array, Uint8Array, Uint8Array];
+    expect(() => reader.receive(Buffer.concat([first, second]))).to.throw('a handler that throws');
+    reader.receive(Buffer.from(third));
+    expect(pongsOf(received)).to.deep.equal([1, 2]);
+    expect(ends).to.have.lengthOf(1);
+  });
 });
