Give a caller its response before it is recorded

Change: the response is passed on first.

Result: relay.spec.ts passes; the exception itself was not tried again.

--- a/packages/calls/src/relay.ts
+++ b/packages/calls/src/relay.ts
@@ -257,10 +257,11 @@
         if (!response.rest) timer[Symbol.dispose]();
         stopFollowingRun();
         stopFollowingDrain();
-        if (!cancellation.signal.aborted) chains.responseReceived(context, parent, response);
-        recordOutcome(decisionTrace, context.requestId, response, clock.now() - startedAt);
         const { first, rest } = response;
+        // First: nothing else ends the request from here on, so that its response must not depend on what records it.
         resolve({ first, rest: rest && untilCancelled(rest, cancellation.signal, timer) });
+        if (!cancellation.signal.aborted) chains.responseReceived(context, parent, response);
+        recordOutcome(decisionTrace, context.requestId, response, clock.now() - startedAt);
       };
       forwarder
         .forward(callRoute, head, context, body, cancellation.signal)
