Begin the grace period with SIGTERM, also during a stop after an exception

Change: the drain, the closing and the bound on the stop count from the signal. The native daemon does not do this yet.

--- a/packages/daemon/src/drain.ts
+++ b/packages/daemon/src/drain.ts
@@ -63,6 +63,12 @@
     this.deadline = this.startedAt + graceMs * GRACE_RATIO;
   }
 
+  /** Gives requests in flight the whole grace period from now on, if the drain still waits for them: the daemon is told to stop. */
+  extend(): void {
+    const { clock, graceMs } = this.options;
+    if (this.timeLeftMs > 0) this.deadline = clock.now() + graceMs * GRACE_RATIO;
+  }
+
   /** Waits until no request is in flight, or the time is over. From then on none has time left: callers use open connections until these are closed. */
   async waitUntilIdle(): Promise<void> {
     const { clock } = this.options;
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -69,6 +69,7 @@
       await daemon[Symbol.asyncDispose]();
       log.info('Daemon: Stopped.');
     },
+    extend: () => undefined,
     exit: code => process.exit(code),
     fail: exitWithError,
   });
--- a/packages/daemon/src/processStop.ts
+++ b/packages/daemon/src/processStop.ts
@@ -8,6 +8,8 @@
 export interface ProcessStopOptions {
   /** Drains the daemon and closes everything, within the grace period. */
   readonly run: (reason: DrainReason) => Promise<void>;
+  /** Called when the process is told to stop while it stops after a failure: its grace period begins then. */
+  readonly extend: () => void;
   readonly exit: (code: ExitCode) => void;
   /** Ends the process when `run` has failed. */
   readonly fail: (error: unknown) => void;
@@ -22,8 +24,12 @@
 
   /** Begins to stop. A stop that has begun for another reason continues; one that was asked for ends with its own code nevertheless. */
   begin(reason: DrainReason): void {
+    const isFirstSignal = reason === 'planned' && !this.isPlanned;
     this.isPlanned ||= reason === 'planned';
-    if (this.isStopping) return;
+    if (this.isStopping) {
+      if (isFirstSignal) this.options.extend();
+      return;
+    }
     this.isStopping = true;
     const { run, exit, fail } = this.options;
     run(reason).then(() => exit(this.exitCode), fail);
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -197,11 +197,8 @@
 
   /** Requests that have no response yet, and the event-loop lag. */
   get processFacts(): ProcessFacts {
-    return {
-      inFlight: this.inFlight,
-      running: this.core.running.size,
-      lagMs: Math.round(this.processor.pressure.lagMs),
-    };
+    const { lagMs } = this.processor.pressure;
+    return { inFlight: this.inFlight, running: this.core.running.size, lagMs: Math.round(lagMs) };
   }
 
   get membership(): Membership {
@@ -258,6 +255,11 @@
     await this.processor.logTotals();
   }
 
+  /** Begins the grace period of a drain anew. */
+  extendDrain(): void {
+    this.shutdown.extend();
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     this.membership.leave();
     this.processor[Symbol.dispose]();
--- a/packages/daemon/src/unhandledExceptions.ts
+++ b/packages/daemon/src/unhandledExceptions.ts
@@ -2,7 +2,7 @@
  * What a daemon process does about exceptions and rejections that nothing handles. By default they end it, and with it every request in flight; the
  * process logs them instead, and ends once these have their responses, for a bounded time.
  */
-import { type Clock } from '@cleatquay/clock';
+import { type Clock, type Timer } from '@cleatquay/clock';
 import { boundedLog } from './boundedLog.js';
 import { type Outstanding } from './drain.js';
 
@@ -44,6 +44,7 @@
 export class UnhandledExceptions {
   /** Monotonic time of the first one, ms. */
   private firstAt: number | undefined;
+  private limit: Timer | undefined;
   private readonly log: (message: string, facts: object) => void;
 
   constructor(private readonly options: UnhandledExceptionsOptions) {
@@ -56,6 +57,19 @@
     for (const output of outputs) output.on('error', () => undefined);
   }
 
+  /** The process may take the whole time again, counted from now, if it ends after an exception. */
+  extend(): void {
+    if (this.firstAt === undefined) return;
+    this.firstAt = this.options.clock.now();
+    this.startLimit();
+  }
+
+  private startLimit(): void {
+    const { clock, maxStopMs, exit } = this.options;
+    this.limit?.[Symbol.dispose]();
+    this.limit = clock.after(maxStopMs, exit);
+  }
+
   private handle(error: unknown, origin: string): void {
     const { clock, maxStopMs, exit } = this.options;
     const now = clock.now();
@@ -68,9 +82,8 @@
   }
 
   private begin(): void {
-    const { clock, maxStopMs, stop, exit } = this.options;
-    clock.after(maxStopMs, exit);
-    ignoreExceptions(stop);
+    this.startLimit();
+    ignoreExceptions(this.options.stop);
   }
 
   private record(error: unknown, origin: string): void {
--- a/tests/unhandledExceptionHandler.spec.ts
+++ b/tests/unhandledExceptionHandler.spec.ts
@@ -14,12 +14,13 @@
   let stops: number;
   let exits: number;
   let logFails: boolean;
+  let exceptions: UnhandledExceptions;
 
   beforeEach(() => {
     clock = new ManualClock();
     [source, output] = [new EventEmitter(), new EventEmitter()];
     [lines, stops, exits, logFails] = [[], 0, 0, false];
-    new UnhandledExceptions({
+    exceptions = new UnhandledExceptions({
       clock,
       facts: () => FACTS,
       log: (_message, facts) => {
@@ -29,7 +30,8 @@
       stop: () => void stops++,
       maxStopMs: MAX_STOP_MS,
       exit: () => void exits++,
-    }).watch(source, [output]);
+    });
+    exceptions.watch(source, [output]);
   });
 
   const report = (error: unknown, origin = 'uncaughtException') =>
@@ -74,6 +76,18 @@
       clock.advance(1);
       expect(exits).to.equal(1);
     });
+
+    it('counts the bound anew when it is extended', () => {
+      exceptions.extend();
+      report(new Error('broken'));
+      clock.advance(MAX_STOP_MS - 1);
+      exceptions.extend();
+      report(new Error('again'));
+      clock.advance(MAX_STOP_MS - 1);
+      expect(exits).to.equal(0);
+      clock.advance(1);
+      expect(exits).to.equal(1);
+    });
   });
 
   // Guards against an exception in the listener itself, which would end the process with requests in flight.
@@ -94,15 +108,17 @@
   let ends: unknown[];
   let finish: () => void;
   let stop: ProcessStop;
+  let extensions: number;
 
   beforeEach(() => {
-    [reasons, ends] = [[], []];
+    [reasons, ends, extensions] = [[], [], 0];
     const finished = new Promise<void>(resolve => (finish = resolve));
     stop = new ProcessStop({
       run: reason => {
         reasons.push(reason);
         return finished;
       },
+      extend: () => void extensions++,
       exit: code => ends.push(code),
       fail: error => ends.push(error),
     });
@@ -129,10 +145,20 @@
     expect(reasons).to.deep.equal(['failure']);
   });
 
+  // Guards against a stop that breaks requests off early because an exception came before the signal.
+  it('begins its grace period with the first signal, also after a failure', async () => {
+    await endsAfter('failure', 'failure');
+    expect(extensions).to.equal(0);
+    stop.begin('planned');
+    stop.begin('planned');
+    expect(extensions).to.equal(1);
+  });
+
   it('reports that it could not close', async () => {
     const error = new Error('broken');
     const failing = new ProcessStop({
       run: () => Promise.reject(error),
+      extend: () => undefined,
       exit: code => ends.push(code),
       fail: cause => ends.push(cause),
     });
