Go on after an exception in a listener of an upstream's connection, or in an overdue timer

Timers that are overdue after a suspension fired though one before them had cancelled them.

Change: the next request serves those that wait; a timer that was cancelled does not fire.

--- a/packages/calls/src/upstreamConnectionPool.ts
+++ b/packages/calls/src/upstreamConnectionPool.ts
@@ -37,6 +37,7 @@
   /** Calls `start` with a free connection, at once or when there is one. The request has to be dispatched on it before `start` returns. */
   acquire(demand: ConnectionDemand, start: (connection: UpstreamConnection) => void): void {
     if (this.isClosed) throw new Error('The connections to the upstream are closed.');
+    if (this.waiting.length > 0) this.serveWaiting();
     const connection = this.waiting.length === 0 ? this.choose(demand) : undefined;
     if (connection) start(connection);
     else this.waiting.push({ demand, start });
--- a/packages/clock/src/clock.ts
+++ b/packages/clock/src/clock.ts
@@ -148,7 +148,9 @@
   private fireOverdueTimers(): void {
     const now = this.now();
     const due = [...this.pendingTimers, ...this.sharedTimeout.pending].filter(({ dueAt }) => dueAt <= now);
-    for (const timer of due.sort((a, b) => a.dueAt - b.dueAt)) timer.fire();
+    due.sort((a, b) => a.dueAt - b.dueAt);
+    // A timer may cancel another one that is due.
+    for (const timer of due) if (timer.isPending) timer.fire();
   }
 }
 
@@ -167,6 +169,10 @@
     this.timeoutAt = performance.now() + ms;
   }
 
+  get isPending(): boolean {
+    return this.pendingTimers.has(this);
+  }
+
   fire(): void {
     this[Symbol.dispose]();
     const isMeasured = this.meter.enter('timers');
@@ -198,6 +204,10 @@
     pendingTimers.add(this);
   }
 
+  get isPending(): boolean {
+    return this.pendingTimers.has(this);
+  }
+
   fire(): void {
     this[Symbol.dispose]();
     const isMeasured = this.meter.enter('timers');
