Log when a daemon hears of a version, its contact with the platform, and who holds which shares of quotas

- 'A peer announced a newer version.' once a version: from whom, and for how long the platform is lost or back (platform).
- The same facts in the lines of adoptions, of the reads of the configuration, and of the rounds of discovery.
- 'The shares changed.': by how many shares a daemon divides its failure domain's quotas, and what it holds as coordinator, by lessor; also as quotaShares in the dump.

No change of logic.

--- a/packages/configuration/src/configurationDistribution.ts
+++ b/packages/configuration/src/configurationDistribution.ts
@@ -57,6 +57,8 @@
   readonly fetchDelayMs: (peer: string) => number;
   /** Called if a peer has other content under the active generation, and no read of the platform has confirmed this daemon's content. */
   readonly onDigestMismatch: (peer: string) => void;
+  /** Called when a peer is the first to announce a generation above the active one, and all known ones. */
+  readonly onAnnounced?: (generation: number, peer: string) => void;
   /** Called if a fetch from a peer failed. */
   readonly onPeerFailure: (peer: string, reason: string) => void;
 }
@@ -84,6 +86,7 @@
   private isUnreachable = false;
   private readonly refusals = new RecentTexts(MAX_REMEMBERED_REFUSALS);
   private missing: MissingVersion | undefined;
+  private lastAnnounced = 0;
 
   constructor(private readonly options: DistributionOptions) {}
 
@@ -126,7 +129,7 @@
       onDigestMismatch(peer);
     }
     if (generation <= configuration.generation) return;
-    this.noteMissing(generation);
+    this.noteMissing(generation, peer);
     this.generationsByPeer.set(peer, generation);
     this.fetching ??= this.fetchUntilCaughtUp(peer).finally(() => {
       this.fetching = undefined;
@@ -139,9 +142,11 @@
     await this.fetching;
   }
 
-  private noteMissing(generation: number): void {
-    const { clock, configuration } = this.options;
+  private noteMissing(generation: number, peer: string): void {
+    const { clock, configuration, onAnnounced } = this.options;
     const { generation: active } = configuration;
+    if (generation > this.lastAnnounced) onAnnounced?.(generation, peer);
+    this.lastAnnounced = Math.max(this.lastAnnounced, generation);
     if (this.missing?.active !== active) this.missing = { generation, active, since: clock.now() };
     else if (generation > this.missing.generation) this.missing = { ...this.missing, generation };
   }
--- a/packages/daemon/src/configurationUpdater.ts
+++ b/packages/daemon/src/configurationUpdater.ts
@@ -14,7 +14,8 @@
 import { type KnownConfiguration, type Membership } from '@cleatquay/membership';
 import { type ConfigurationAnswer, type ConfigurationRequest } from '@cleatquay/protocol';
 import { type Logger } from 'pino';
-import { logDigestMismatch, logPeerFetchFailure } from './adoptionLog.js';
+import { logAnnouncement, logDigestMismatch, logPeerFetchFailure } from './adoptionLog.js';
+import { type PlatformContact } from './platformContact.js';
 import { PlatformReaders } from './platformReaders.js';
 import { type ProofRenewer } from './proofRenewer.js';
 import { SourceContact } from './sourceContact.js';
@@ -27,6 +28,7 @@
   readonly freshness: Freshness;
   readonly source: ConfigurationSource;
   readonly membership: Membership;
+  readonly contact: PlatformContact;
   readonly failureDomain: string;
   /** Undefined if no API keys depend on recent proofs. */
   readonly proofRenewer: ProofRenewer | undefined;
@@ -41,7 +43,7 @@
 /** Adopts each new version until disposed of. */
 export class ConfigurationUpdater implements AsyncDisposable {
   readonly readers: PlatformReaders;
-  private readonly contact: SourceContact;
+  private readonly sourceContact: SourceContact;
   private readonly watcher: ConfigurationWatcher;
   private readonly distribution: ConfigurationDistribution;
   private lastReadReason: ReadReason = 'none';
@@ -50,7 +52,7 @@
     const { clock, random, membership, failureDomain } = options;
     const readers = new PlatformReaders(clock, membership, failureDomain);
     this.readers = readers;
-    this.contact = new SourceContact({ clock, random, readers, membership });
+    this.sourceContact = new SourceContact({ clock, random, readers, membership });
     this.watcher = this.createWatcher();
     this.distribution = this.createDistribution();
   }
@@ -58,7 +60,7 @@
   /** Starts to read the platform, once the membership has started. */
   start(): void {
     this.watcher.start();
-    this.contact.start();
+    this.sourceContact.start();
   }
 
   /** Handles a peer's announcement of its configuration. */
@@ -77,7 +79,7 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    await this.contact[Symbol.asyncDispose]();
+    await this.sourceContact[Symbol.asyncDispose]();
     await this.watcher[Symbol.asyncDispose]();
     await this.distribution[Symbol.asyncDispose]();
   }
@@ -103,7 +105,7 @@
   }
 
   private createWatcher(): ConfigurationWatcher {
-    const { clock, configuration, source, freshness, membership, proofRenewer, log } = this.options;
+    const { clock, configuration, source, freshness, membership, contact, proofRenewer, log } = this.options;
     return new ConfigurationWatcher({
       clock,
       configuration,
@@ -114,13 +116,16 @@
         Math.min(this.readers.waitMs(isFirst), proofRenewer?.maxWaitMs ?? Number.POSITIVE_INFINITY),
       readIntervalMs: () => proofRenewer?.readIntervalMs,
       retryDelayMs: () => this.readers.retryDelayMs,
-      onReachability: isReachable => membership.setPlatformLost(!isReachable),
-      log: (message, facts) => log.info(facts, `Configuration: ${message}`),
+      onReachability: isReachable => {
+        contact.record(isReachable);
+        membership.setPlatformLost(!isReachable);
+      },
+      log: (message, facts) => log.info({ ...facts, platform: contact.facts }, `Configuration: ${message}`),
     });
   }
 
   private createDistribution(): ConfigurationDistribution {
-    const { clock, random, configuration, freshness, fetch, log } = this.options;
+    const { clock, random, configuration, freshness, contact, fetch, log } = this.options;
     return new ConfigurationDistribution({
       clock,
       random,
@@ -132,6 +137,8 @@
       fetchDelayMs: peer => this.readers.fetchDelayMs(peer),
       fetch,
       fetchOrder: candidates => this.readers.fetchOrder(candidates),
+      onAnnounced: (generation, peer) =>
+        logAnnouncement(log, { generation, active: configuration.generation, peer }, contact.facts),
       onPeerFailure: (peer, reason) => logPeerFetchFailure(log, peer, reason),
       onDigestMismatch: peer => {
         logDigestMismatch(log, configuration, peer);
--- a/packages/daemon/src/createFleetQuotas.ts
+++ b/packages/daemon/src/createFleetQuotas.ts
@@ -1,7 +1,7 @@
 /** Connects the quotas of a daemon to its membership. */
 import { type Clock, ElapsedTime, type Random } from '@cleatquay/clock';
 import { type Membership } from '@cleatquay/membership';
-import { type QuotaDivision, Quotas } from '@cleatquay/organisations';
+import { type QuotaDivision, Quotas, type ShareReport } from '@cleatquay/organisations';
 
 /**
  * A daemon that was declared dead still counts for this long, ms: it may only be partitioned, and go on using its share
@@ -18,11 +18,12 @@
   readonly membership: Membership;
   /** Whether this daemon has a view of the fleet. Before that it can't compute its share. */
   readonly hasFleetView: () => boolean;
+  readonly onShares?: (report: ShareReport) => void;
 }
 
 /** Creates quotas that exchange their messages in membership datagrams. */
 export function createFleetQuotas(options: FleetQuotasOptions): Quotas {
-  const { failureDomain, division, clock, random, membership, hasFleetView } = options;
+  const { failureDomain, division, clock, random, membership, hasFleetView, onShares } = options;
   const elapsedTime = new ElapsedTime(clock);
   return new Quotas({
     clock,
@@ -34,6 +35,7 @@
     members: () => [...membership.table.all()].filter(({ state }) => state === 'ALIVE'),
     shareCount: () =>
       hasFleetView() ? membership.countRecentlyUp(failureDomain, PARTITION_GRACE_MS) : undefined,
+    onShares: report => onShares?.(report),
     sendRequest: (to, request) => membership.sendQuotaRequest(to, request),
     sendResponse: (to, response) => membership.sendQuotaResponse(to, response),
   });
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -24,6 +24,7 @@
 export { UpstreamLoadMonitor } from './upstreamLoadMonitor.js';
 export { Upstreams } from './upstreams.js';
 export { ConfigurationUpdater } from './configurationUpdater.js';
+export { PlatformContact } from './platformContact.js';
 export { PlatformReaders } from './platformReaders.js';
 export { Metrics } from './metrics.js';
 export { checkPartition } from './operatorInput.js';
--- a/packages/daemon/src/organisationServices.ts
+++ b/packages/daemon/src/organisationServices.ts
@@ -3,7 +3,13 @@
 import { type Clock, type Random } from '@cleatquay/clock';
 import { Freshness, type ConfigurationVersion } from '@cleatquay/configuration';
 import { type Membership, type QuotaHandlers } from '@cleatquay/membership';
-import { type Keyring, OrganisationCounts, type QuotaDivision, type Quotas } from '@cleatquay/organisations';
+import {
+  type Keyring,
+  OrganisationCounts,
+  type QuotaDivision,
+  type Quotas,
+  type ShareReport,
+} from '@cleatquay/organisations';
 import { createFleetQuotas } from './createFleetQuotas.js';
 import { ProofRenewer } from './proofRenewer.js';
 import { PlatformReaders } from './platformReaders.js';
@@ -24,6 +30,8 @@
   readonly division: QuotaDivision;
   /** Whether this daemon has a view of the fleet, and so can compute its share of the quotas. */
   readonly hasFleetView: () => boolean;
+  /** Called with each change of the shares of quotas that this daemon holds or has. */
+  readonly onShares?: (report: ShareReport) => void;
   readonly log: (message: string, facts: object) => void;
 }
 
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -16,12 +16,7 @@
   type Sections,
 } from '@cleatquay/configuration';
 import { Failure } from '@cleatquay/errors';
-import {
-  type PersistedState,
-  PeerDiscovery,
-  type DiscoveryTable,
-  type Membership,
-} from '@cleatquay/membership';
+import { type PeerDiscovery, type DiscoveryTable, type Membership } from '@cleatquay/membership';
 import { type Refusal, type Section, refusalPart, createRefusal } from '@cleatquay/protocol';
 import { type Quarantine, type QuarantineTable } from '@cleatquay/quarantine';
 import { HostRoutes, type RoutePlan } from '@cleatquay/routes';
@@ -31,7 +26,7 @@
 import { logAdoption } from './adoptionLog.js';
 import { ConfigurationUpdater } from './configurationUpdater.js';
 import { DaemonCore } from './daemonCore.js';
-import { restoreUpstreams } from './restoreUpstreams.js';
+import { createRelayDiscovery } from './relayDiscovery.js';
 import { Drain, type DrainReason } from './drain.js';
 import { HttpListeners, type Listener, listenAddress, serverOf, startServers } from './httpListeners.js';
 import { Metrics } from './metrics.js';
@@ -44,6 +39,7 @@
 import { type CallerDialect, RelayGateway } from './relayGateway.js';
 import { PipelinedRequests } from './pipelinedRequests.js';
 import { UnreadBodies } from './unreadBodies.js';
+import { PlatformContact } from './platformContact.js';
 import { Processor } from './processor.js';
 import { type ProcessorTime } from './processorTime.js';
 import { OrganisationServices } from './organisationServices.js';
@@ -98,6 +94,7 @@
   readonly organisations: OrganisationServices;
   private readonly broker: ServiceBroker = createBroker();
   private readonly configurationLog: Logger;
+  private readonly platformContact: PlatformContact;
   private readonly gateway: RelayGateway;
   private readonly learnedCalls: LearnedCalls;
   readonly processor: Processor;
@@ -122,6 +119,7 @@
     const { metrics } = this;
     this.configurationLog = log.child({ part: 'configuration' });
     this.learnedCalls = new LearnedCalls(clock);
+    this.platformContact = new PlatformContact(clock);
     const processorLog = log.child({ part: 'processor' });
     this.processor = new Processor({
       clock,
@@ -135,6 +133,7 @@
       sections => new HostRoutes(adapter.plan(sections), random, this.configuration.active),
       adoption => this.onConfigurationAdopted(adoption),
     );
+    const quotaLog = log.child({ part: 'quotas' });
     this.organisations = new OrganisationServices({
       clock,
       random,
@@ -144,6 +143,7 @@
       failureDomain: settings.failureDomain,
       division: settings.quotas,
       hasFleetView: () => this.hasFleetView,
+      onShares: report => quotaLog.info(report, 'Quotas: The shares changed.'),
       log: (message, facts) => this.configurationLog.info(facts, `Configuration: ${message}`),
     });
     this.shutdown = new Drain({
@@ -356,40 +356,20 @@
   }
 
   private createDiscovery(): PeerDiscovery {
-    const { clock, random, log, platformAdapter: adapter } = this.options;
-    const discoveryLog = log.child({ part: 'meeting' });
-    return new PeerDiscovery({
+    const { settings, clock, random, log, platformAdapter: adapter } = this.options;
+    return createRelayDiscovery({
       clock,
       random,
-      table: adapter.discoveryTable,
+      heartbeatMs: settings.heartbeatMs,
+      adapter,
       membership: this.membership,
+      contact: this.platformContact,
+      delimiters: this.core.delimiters,
+      upstreams: this.upstreams,
       maintainsTable: () => this.updater.readers.isReader,
-      persisted: () => ({
-        departures: this.upstreams.departures,
-        upstreams: this.upstreams.identifiedUpstreams,
-        ...this.core.delimiters.evidence,
-      }),
-      onRestore: recorded => this.restore(recorded),
-      onRows: rows =>
-        this.core.delimiters.setReported(rows.flatMap(({ delimitingServices }) => delimitingServices)),
-      log: (message, facts) => discoveryLog.info(facts, `Meeting: ${message}`),
-    });
-  }
-
-  /** Restores the upstreams, their shutdowns, and how they delimit responses, as an earlier process of this daemon recorded them. */
-  private restore({ departures, upstreams, ...evidence }: PersistedState): void {
-    const { settings, clock, log, platformAdapter: adapter } = this.options;
-    this.core.delimiters.restore(evidence);
-    for (const { instanceId, born } of departures) this.upstreams.markLeaving(instanceId, born);
-    void restoreUpstreams(upstreams, {
-      clock,
-      heartbeatMs: settings.heartbeatMs,
-      dialect: adapter.upstreams,
       healthPath: service => this.healthPathOf(service),
-      upstreamOf: service => this.upstreams.get(service),
-      announce: announcement => this.upstreams.announce(announcement),
       markLeaving: ({ instanceId, born }) => this.markUpstreamLeaving(instanceId, born),
-      log: (message, facts) => log.info(facts, `Upstreams: ${message}`),
+      log,
     });
   }
 
@@ -402,6 +382,7 @@
       freshness: this.organisations.freshness,
       source: adapter.configurationSource,
       membership: this.membership,
+      contact: this.platformContact,
       failureDomain: settings.failureDomain,
       proofRenewer: this.organisations.proofRenewer,
       fetch: async (peer, request) => {
@@ -451,7 +432,8 @@
   }
 
   private onConfigurationAdopted(adoption: Adoption): void {
-    logAdoption(this.configurationLog, adoption, this.updater.announcedForMs(adoption.generation));
+    const announcedForMs = this.updater.announcedForMs(adoption.generation);
+    logAdoption(this.configurationLog, adoption, announcedForMs, this.platformContact.facts);
     this.priorityClasses = this.configuration.active?.classes ?? 1;
     this.core.membership.setConfiguration(this.configuration);
     this.gateway.adoptConfiguration();
@@ -472,6 +454,7 @@
     const { router, running, chains, attempts, quarantine } = this.core;
     const core = { router, running, chains, attempts, quarantine };
     const sources = { configuration, updater, membership, upstreams, ...core };
-    return { ...sources, inFlight: this.inFlight, freshness: this.organisations.freshness };
+    const { freshness, quotas } = this.organisations;
+    return { ...sources, inFlight: this.inFlight, freshness, quotas };
   }
 }
--- a/packages/daemon/src/relayReport.ts
+++ b/packages/daemon/src/relayReport.ts
@@ -3,6 +3,7 @@
 import { type Configuration, type Freshness } from '@cleatquay/configuration';
 import { invariantViolations } from '@cleatquay/errors';
 import { type Membership } from '@cleatquay/membership';
+import { type Quotas } from '@cleatquay/organisations';
 import { type Quarantine } from '@cleatquay/quarantine';
 import { type HostRoutes } from '@cleatquay/routes';
 import { type Router } from '@cleatquay/routing';
@@ -22,6 +23,7 @@
   readonly quarantine: Quarantine;
   readonly inFlight: number;
   readonly freshness: Freshness;
+  readonly quotas: Quotas;
 }
 
 /** The active configuration, the upstreams and the members known to this daemon. */
@@ -57,6 +59,7 @@
       admittedShares: Object.fromEntries(sources.chains.admission.reduced),
     },
     membership: sources.membership.dump(),
+    quotaShares: sources.quotas.shareReport,
     invariantViolations,
     memory: process.memoryUsage(),
   };
--- a/packages/membership/src/peerDiscovery.ts
+++ b/packages/membership/src/peerDiscovery.ts
@@ -100,6 +100,8 @@
   readonly onRestore: (recorded: PersistedState) => void;
   /** Called with all rows after each read of the table. */
   readonly onRows: (rows: readonly DiscoveryRow[]) => void;
+  /** Called at the end of each round with whether the table is reachable. */
+  readonly onReachability: (isReachable: boolean) => void;
   readonly log: (message: string, facts: object) => void;
 }
 
@@ -192,11 +194,13 @@
       await this.removeGone(rows, signal);
       if (this.isTableUnreachable) log('The table is reachable again.', { rows: rows.length });
       this.isTableUnreachable = false;
+      this.options.onReachability(true);
       this.resolveFirstRound();
     } catch (error) {
       if (!this.isTableUnreachable && !signal.aborted)
         log('The table is unreachable.', { reason: asFailure(error).describe() });
       this.isTableUnreachable = true;
+      if (!signal.aborted) this.options.onReachability(false);
     }
   }
 
--- a/packages/organisations/src/index.ts
+++ b/packages/organisations/src/index.ts
@@ -6,6 +6,7 @@
 export { type QuotaDecision } from './quotaQueue.js';
 export { type QuotaDivision, QuotaBuckets } from './quotaBuckets.js';
 export { LEASE_MS, ShareLeases } from './shareLeases.js';
+export { type ShareReport } from './shareReport.js';
 export { SHARD_COUNT, coordinatorOf, shardOf } from './shards.js';
 export { PriorityClasses } from './priorityClasses.js';
 export { Keyring } from './keyring.js';
--- a/packages/organisations/src/quotaCoordinator.ts
+++ b/packages/organisations/src/quotaCoordinator.ts
@@ -87,6 +87,11 @@
     return this.shards[shard]?.leases.currentShare(this.options.now()) ?? 0;
   }
 
+  /** Shares of a shard's quotas that are leased to this daemon, by gossip address of the lessor. */
+  heldShares(shard: number): ReadonlyMap<string, number> {
+    return this.shards[shard]?.leases.held(this.options.now()) ?? new Map();
+  }
+
   private grantFor({ organisation, requests }: QuotaAsk, isTransfer: boolean): QuotaGrant {
     const quota = this.options.quotaOf(organisation);
     const noGrant = { organisation, requests: 0, delayMs: 0, retryAfterMs: 0, unknown: quota === undefined };
--- a/packages/organisations/src/quotas.ts
+++ b/packages/organisations/src/quotas.ts
@@ -9,6 +9,7 @@
 import { QuotaCoordinator, type QuotaCoordinatorOptions } from './quotaCoordinator.js';
 import { QuotaQueue, type QuotaDecision } from './quotaQueue.js';
 import { ShareLessor } from './shareLessor.js';
+import { ShareChanges, type ShareReport } from './shareReport.js';
 import { LEASE_MS } from './shareLeases.js';
 import { SHARD_COUNT, shardOf } from './shards.js';
 
@@ -40,6 +41,8 @@
    * be partitioned; undefined while unknown.
    */
   readonly shareCount: () => number | undefined;
+  /** Called with each change of the shares that this daemon holds, or of its own; at most once in `LEASE_RENEWAL_MS` while it is idle. */
+  readonly onShares?: (report: ShareReport) => void;
   readonly sendRequest: (to: string, request: QuotaQuestion) => void;
   readonly sendResponse: (to: string, response: QuotaAnswer) => void;
 }
@@ -77,11 +80,13 @@
   private timer: Timer | undefined;
   private isIdleTickScheduled = false;
   private isClosed = false;
+  private readonly shareChanges: ShareChanges;
 
   constructor(private readonly options: QuotasOptions) {
     const { clock, random } = options;
     this.lastNumber = Math.floor(random() * MAX_FIRST_NUMBER);
     this.directory = new CoordinatorDirectory(options);
+    this.shareChanges = new ShareChanges(report => options.onShares?.(report));
     this.coordinator = new QuotaCoordinator({
       ...options,
       quotaOf: name => this.quotas.get(name) ?? (this.organisations.has(name) ? 'none' : undefined),
@@ -104,6 +109,16 @@
     if (this.quotas.size > 0) this.scheduleTick();
   }
 
+  /** Who holds which shares of this failure domain's quotas, as this daemon sees it. */
+  get shareReport(): ShareReport {
+    const now = this.options.clock.now();
+    const shards = this.shards.map((_, index) => ({
+      coordinator: this.directory.inSameDomain(index, now),
+      held: Object.fromEntries(this.coordinator.heldShares(index)),
+    }));
+    return { shareCount: this.options.shareCount(), shards };
+  }
+
   /** Decides on one request, synchronously if this daemon is the coordinator. */
   acquire(organisation: string, quota: Quota): QuotaDecision | Promise<QuotaDecision> {
     const now = this.options.clock.now();
@@ -266,6 +281,7 @@
       queue.expire(now - MAX_WAIT_MS);
       if (!queue.isEmpty || now - lastSentAt >= LEASE_RENEWAL_MS) this.sendRequests(shard, now);
     }
+    this.shareChanges.observe(this.shareReport);
     if (this.quotas.size > 0 || this.shards.some(({ queue }) => !queue.isEmpty)) this.scheduleTick();
   }
 
--- a/packages/organisations/src/shareLeases.ts
+++ b/packages/organisations/src/shareLeases.ts
@@ -36,6 +36,12 @@
     if (share < previousShare) this.onDecrease(this.totalShare());
   }
 
+  /** Shares that are leased to this daemon now, by lessor. */
+  held(now: number): ReadonlyMap<string, number> {
+    this.accrue(now);
+    return new Map([...this.leases].map(([lessor, { share }]) => [lessor, share]));
+  }
+
   /** Share of the quotas that may be granted now, 0 to 1. */
   currentShare(now: number): number {
     this.accrue(now);
--- a/tests/peerDiscovery.spec.ts
+++ b/tests/peerDiscovery.spec.ts
@@ -59,6 +59,7 @@
       persisted: () => persisted,
       onRestore: recorded => (persisted = recorded),
       onRows: () => undefined,
+      onReachability: () => undefined,
       log: () => undefined,
     });
   });
