--- a/tests/quotas.spec.ts
+++ b/tests/quotas.spec.ts
@@ -62,6 +62,27 @@
       expect(fleet.maxInWindow).to.be.at.most(allowedInWindow(QUOTA));
     });
 
+    it('gets no more although daemons divide its quota by fewer members than there are, in favour of one coordinator', async () => {
+      using fleet = simulation('few members');
+      fleet.shareCountSeenBy = () => 2;
+      await fleet.advance(3000, 0, () => fleet.pickAnyNode());
+      await fleet.advance(8000, 300, () => fleet.pickAnyNode());
+      expect(fleet.maxInWindow).to.be.at.most(allowedInWindow(QUOTA));
+    });
+
+    it('gets no more while the coordinator changes again and again, although each grants ahead', async () => {
+      const quota = { perSecond: 100, burst: 5 };
+      using fleet = new QuotaSimulation({ seed: 'coordinators', quota, slack: 2, daemonsPerDomain: [8] });
+      let excluded = 0;
+      fleet.isKnown = (_, other) => fleet.nodes.indexOf(other) % 2 === excluded;
+      await fleet.advance(3000, 0, () => fleet.pickAnyNode());
+      for (let round = 0; round < 14; round++) {
+        await fleet.advance(900, 500, () => fleet.pickAnyNode());
+        excluded = 1 - excluded;
+      }
+      expect(fleet.maxInWindow).to.be.at.most((100 * WINDOW_S + 5) * (1 + OVERSHOOT_RATIO) + 2);
+    });
+
     it('is limited to a lower quota one window after that became active', async () => {
       using fleet = simulation('lowered');
       const lowerQuota = { perSecond: 10, burst: 10 };
@@ -166,6 +187,15 @@
       expect(decreases).to.deep.equal([0.25, 0]);
     });
 
+    it('count no more than the whole, however many there are', () => {
+      const leases = new ShareLeases(() => undefined);
+      leases.add('a', 1, 400, 0);
+      leases.add('b', 0.75, 800, 0);
+      expect(leases.currentShare(100)).to.equal(1);
+      expect(leases.fullShareMs(100)).to.be.closeTo(100, 1e-9);
+      expect(leases.fullShareMs(800)).to.be.closeTo(400 + 0.75 * 400, 1e-9);
+    });
+
     it('are limited to the lease duration, and ignored if expired or not positive', () => {
       const leases = new ShareLeases(() => undefined);
       leases.add('far future', 0.5, 1e9, 0);
