Let shares of a quota accrue as the whole at most

Cause: each daemon leases 1/n of its failure domain's quota, by the n members that it knows. While views differ, as in the seconds after many began anew, these shares add up to more than 1. The coordinator limited their sum where it was read (the burst, and what is granted ahead), but let tokens accrue for each lease by itself, so that it granted at several times the domain's rate. Change: the sum accrues, limited to the whole, piece by piece between the ends of leases.

--- a/packages/organisations/src/shareLeases.ts
+++ b/packages/organisations/src/shareLeases.ts
@@ -11,14 +11,16 @@
   readonly share: number;
   /** Expiry by the local clock, ms. */
   readonly until: number;
-  /** Time up to which the lease is included in `accruedMs`. */
-  accruedTo: number;
 }
 
 /** Shares that are leased to this daemon, by lessor. */
 export class ShareLeases {
   private readonly leases = new Map<string, Lease>();
   private accruedMs = 0;
+  /** Time up to which the leases are included in `accruedMs`. */
+  private accruedTo = Number.NEGATIVE_INFINITY;
+  /** No lease ends before that. */
+  private nextEnd = Number.POSITIVE_INFINITY;
 
   /** `onDecrease` receives the new total whenever it has decreased. */
   constructor(private readonly onDecrease: (current: number) => void) {}
@@ -32,7 +34,8 @@
     if (!(share > 0) || until <= now) return;
     const previousShare = this.leases.get(lessor)?.share ?? 0;
     const boundedUntil = Math.min(until, now + LEASE_MS);
-    this.leases.set(lessor, { share: Math.min(1, share), until: boundedUntil, accruedTo: now });
+    this.leases.set(lessor, { share: Math.min(1, share), until: boundedUntil });
+    this.nextEnd = Math.min(this.nextEnd, boundedUntil);
     if (share < previousShare) this.onDecrease(this.totalShare());
   }
 
@@ -60,16 +63,27 @@
     return Math.min(1, total);
   }
 
+  /** Lessors whose views differ may lease more than the whole in sum, which then counts as the whole. */
   private accrue(now: number): void {
-    let hasExpired = false;
-    for (const [lessor, lease] of this.leases) {
-      const end = Math.min(now, lease.until);
-      if (end > lease.accruedTo) this.accruedMs += lease.share * (end - lease.accruedTo);
-      lease.accruedTo = Math.max(lease.accruedTo, end);
-      if (lease.until > now) continue;
-      this.leases.delete(lessor);
-      hasExpired = true;
-    }
+    const hasExpired = this.nextEnd <= now;
+    while (this.nextEnd <= now) this.expire(this.nextEnd);
+    this.accrueTo(now);
     if (hasExpired) this.onDecrease(this.totalShare());
   }
+
+  /** Ends the leases that expire at `time`, the earliest. */
+  private expire(time: number): void {
+    this.accrueTo(time);
+    this.nextEnd = Number.POSITIVE_INFINITY;
+    for (const [lessor, { until }] of this.leases) {
+      if (until <= time) this.leases.delete(lessor);
+      else this.nextEnd = Math.min(this.nextEnd, until);
+    }
+  }
+
+  private accrueTo(time: number): void {
+    if (this.leases.size > 0 && time > this.accruedTo)
+      this.accruedMs += this.totalShare() * (time - this.accruedTo);
+    this.accruedTo = Math.max(this.accruedTo, time);
+  }
 }
