Divide a quota among all daemons that may use a share of it, met or not

Cause: a daemon took 1/n of its failure domain's quota by the members in its table, from its first read of the rows on. That is before any of the daemons named there has answered, so that one that hears nothing of the others at first took the whole for itself, as each of them did. A daemon that is listed but can't be reached was not counted by one that started since, nor was one that had left, while the leases that it had granted were still in use. A daemon without an earlier row lists again, after about a second, before it takes a share: those that start with it then have theirs. Of the native interface, which has no rows, a daemon takes no share for 60 s while it can reach none of its seeds.

--- a/packages/daemon/src/createFleetQuotas.ts
+++ b/packages/daemon/src/createFleetQuotas.ts
@@ -3,12 +3,6 @@
 import { type Membership } from '@cleatquay/membership';
 import { type QuotaDivision, Quotas, type ShareReport } from '@cleatquay/organisations';
 
-/**
- * A daemon that was declared dead still counts for this long, ms: it may only be partitioned, and go on using its share
- * of the quotas.
- */
-const PARTITION_GRACE_MS = 60_000;
-
 /** Dependencies of the quotas of a daemon. */
 export interface FleetQuotasOptions {
   readonly failureDomain: string;
@@ -16,14 +10,14 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly membership: Membership;
-  /** Whether this daemon has a view of the fleet. Before that it can't compute its share. */
-  readonly hasFleetView: () => boolean;
+  /** Number of daemons among which the quotas of the failure domain are divided; undefined while unknown. */
+  readonly shareCount: () => number | undefined;
   readonly onShares?: (report: ShareReport) => void;
 }
 
 /** Creates quotas that exchange their messages in membership datagrams. */
 export function createFleetQuotas(options: FleetQuotasOptions): Quotas {
-  const { failureDomain, division, clock, random, membership, hasFleetView, onShares } = options;
+  const { failureDomain, division, clock, random, membership, shareCount, onShares } = options;
   const elapsedTime = new ElapsedTime(clock);
   return new Quotas({
     clock,
@@ -33,8 +27,7 @@
     self: membership.me.gossipAddress,
     failureDomain,
     members: () => [...membership.table.all()].filter(({ state }) => state === 'ALIVE'),
-    shareCount: () =>
-      hasFleetView() ? membership.countRecentlyUp(failureDomain, PARTITION_GRACE_MS) : undefined,
+    shareCount,
     onShares: report => onShares?.(report),
     sendRequest: (to, request) => membership.sendQuotaRequest(to, request),
     sendResponse: (to, response) => membership.sendQuotaResponse(to, response),
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -16,7 +16,7 @@
   ConfigurationStore,
   joinSections,
 } from '@cleatquay/configuration';
-import { type Membership } from '@cleatquay/membership';
+import { DomainMembers, type Membership } from '@cleatquay/membership';
 import { CallGraph, type ProcessSettings } from '@cleatquay/settings';
 import { NO_TABLE } from '@cleatquay/quarantine';
 import { HttpStore } from '@cleatquay/store';
@@ -57,6 +57,8 @@
 const DEFAULT_MAX_QUEUE_MS = 50;
 /** Time after the start from which a daemon is assumed to know all other members, ms. */
 const FLEET_DISCOVERY_MS = 3000;
+/** The same for a daemon that can reach none of its seeds, which may only be partitioned from them, ms. */
+const MAX_FLEET_DISCOVERY_MS = 60_000;
 /** Upper bound of the priority classes in an operator file; applies until a configuration is active. */
 const MAX_CLASSES = 16;
 
@@ -81,6 +83,7 @@
   private readonly store: HttpStore | undefined;
   /** Set once the daemon listens for its peers. */
   private core!: DaemonCore;
+  private domainMembers!: DomainMembers;
   private ingress!: Ingress;
   private readers!: PlatformReaders;
   private contact!: SourceContact;
@@ -117,6 +120,7 @@
   static async start(options: DaemonOptions): Promise<Daemon> {
     const daemon = new Daemon(options);
     daemon.core = await daemon.startCore();
+    daemon.domainMembers = daemon.createDomainMembers();
     daemon.organisations.connect(daemon.membership);
     daemon.ingress = daemon.createIngress();
     daemon.readers = daemon.createReaders();
@@ -262,10 +266,8 @@
     this.organisations.onConfigurationAdopted();
   }
 
-  /** The daemon is assumed to know the fleet, and so its share of quotas, some time after its start. */
   private createOrganisationServices(): OrganisationServices {
     const { settings, clock, random } = this.options;
-    const startedAt = clock.now();
     return new OrganisationServices({
       clock,
       random,
@@ -274,11 +276,29 @@
       revocationMs: settings.revocationMs,
       failureDomain: settings.failureDomain,
       division: { failureDomains: settings.failureDomains, slack: settings.quotaSlack },
-      hasFleetView: () => clock.now() - startedAt > FLEET_DISCOVERY_MS,
+      shareCount: () => this.domainMembers.count,
       log: (message, facts) => this.configurationLog.info(facts, `Configuration: ${message}`),
     });
   }
 
+  /** The daemon is assumed to know the fleet some time after its start, if it has met anybody of it. */
+  private createDomainMembers(): DomainMembers {
+    const { settings, clock } = this.options;
+    const { membership } = this;
+    const startedAt = clock.now();
+    const hasOtherSeeds = settings.seeds.some(seed => seed !== membership.me.gossipAddress);
+    return new DomainMembers({
+      clock,
+      membership,
+      failureDomain: settings.failureDomain,
+      isComplete: () => {
+        const ageMs = clock.now() - startedAt;
+        const isInTouch = !hasOtherSeeds || membership.aliveCount() > 0;
+        return ageMs > (isInTouch ? FLEET_DISCOVERY_MS : MAX_FLEET_DISCOVERY_MS);
+      },
+    });
+  }
+
   private createReaders(): PlatformReaders {
     const { settings, clock } = this.options;
     return new PlatformReaders(clock, this.membership, settings.failureDomain);
--- a/packages/daemon/src/organisationServices.ts
+++ b/packages/daemon/src/organisationServices.ts
@@ -28,8 +28,8 @@
   readonly revocationMs: number | undefined;
   readonly failureDomain: string;
   readonly division: QuotaDivision;
-  /** Whether this daemon has a view of the fleet, and so can compute its share of the quotas. */
-  readonly hasFleetView: () => boolean;
+  /** Number of daemons among which the quotas of the failure domain are divided; undefined while unknown. */
+  readonly shareCount: () => number | undefined;
   /** Called with each change of the shares of quotas that this daemon holds or has. */
   readonly onShares?: (report: ShareReport) => void;
   readonly log: (message: string, facts: object) => void;
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -16,7 +16,12 @@
   type Sections,
 } from '@cleatquay/configuration';
 import { Failure } from '@cleatquay/errors';
-import { type PeerDiscovery, type DiscoveryTable, type Membership } from '@cleatquay/membership';
+import {
+  type PeerDiscovery,
+  type DiscoveryTable,
+  type Membership,
+  DomainMembers,
+} from '@cleatquay/membership';
 import { type Refusal, type Section, refusalPart, createRefusal } from '@cleatquay/protocol';
 import { type Quarantine, type QuarantineTable } from '@cleatquay/quarantine';
 import { HostRoutes, type RoutePlan } from '@cleatquay/routes';
@@ -109,8 +114,7 @@
   private priorityClasses = 1;
   /** Whether the first discovery round has succeeded, or has taken longer than `DISCOVERY_TIMEOUT_MS`. */
   private isDiscoveryDone = false;
-  /** Whether the list of daemons was read from the platform: the first discovery round has succeeded. */
-  private hasFleetView = false;
+  private domainMembers!: DomainMembers;
   private readonly shutdown: Drain;
   private readonly closeLog: CloseLog;
 
@@ -142,7 +146,7 @@
       revocationMs: settings.revocationMs,
       failureDomain: settings.failureDomain,
       division: settings.quotas,
-      hasFleetView: () => this.hasFleetView,
+      shareCount: () => this.domainMembers.count,
       onShares: report => quotaLog.info(report, 'Quotas: The shares changed.'),
       log: (message, facts) => this.configurationLog.info(facts, `Configuration: ${message}`),
     });
@@ -180,6 +184,7 @@
   static async start(options: RelayDaemonOptions): Promise<RelayDaemon> {
     const daemon = new RelayDaemon(options);
     daemon.core = await daemon.startCore();
+    daemon.domainMembers = daemon.createDomainMembers();
     daemon.organisations.connect(daemon.membership);
     daemon.ingress = daemon.createIngress();
     daemon.updater = daemon.createUpdater();
@@ -364,6 +369,7 @@
       adapter,
       membership: this.membership,
       contact: this.platformContact,
+      domainMembers: this.domainMembers,
       delimiters: this.core.delimiters,
       upstreams: this.upstreams,
       maintainsTable: () => this.updater.readers.isReader,
@@ -373,6 +379,16 @@
     });
   }
 
+  private createDomainMembers(): DomainMembers {
+    const { settings, clock } = this.options;
+    return new DomainMembers({
+      clock,
+      membership: this.membership,
+      failureDomain: settings.failureDomain,
+      isComplete: () => this.discovery.isListComplete,
+    });
+  }
+
   private createUpdater(): ConfigurationUpdater {
     const { settings, clock, random, platformAdapter: adapter } = this.options;
     return new ConfigurationUpdater({
@@ -425,7 +441,6 @@
     this.updater.start();
     this.organisations.start();
     this.discovery.start();
-    void this.discovery.firstRoundDone.then(() => (this.hasFleetView = true));
     void Promise.race([this.discovery.firstRoundDone, clock.sleep(DISCOVERY_TIMEOUT_MS)]).then(
       () => (this.isDiscoveryDone = true),
     );
--- a/packages/daemon/src/relayDiscovery.ts
+++ b/packages/daemon/src/relayDiscovery.ts
@@ -1,7 +1,13 @@
 /** Connects peer discovery to the parts of a daemon whose state its row records. */
 import { type DelimiterHistory } from '@cleatquay/calls';
 import { type Clock, type Random } from '@cleatquay/clock';
-import { type Departure, type Membership, PeerDiscovery, type PersistedState } from '@cleatquay/membership';
+import {
+  type Departure,
+  type DomainMembers,
+  type Membership,
+  PeerDiscovery,
+  type PersistedState,
+} from '@cleatquay/membership';
 import { type Logger } from 'pino';
 import { type PlatformContact } from './platformContact.js';
 import { type PlatformAdapter } from './relayDaemon.js';
@@ -16,6 +22,7 @@
   readonly adapter: Pick<PlatformAdapter, 'discoveryTable' | 'upstreams'>;
   readonly membership: Membership;
   readonly contact: PlatformContact;
+  readonly domainMembers: DomainMembers;
   readonly delimiters: DelimiterHistory;
   readonly upstreams: Upstreams;
   /** Whether this daemon is one of the few of its failure domain that keep the table tidy. */
@@ -27,21 +34,24 @@
 
 /** Creates the discovery of a daemon for unmodified callers. */
 export function createRelayDiscovery(options: RelayDiscoveryOptions): PeerDiscovery {
-  const { clock, random, adapter, membership, contact, delimiters, upstreams, maintainsTable, log } = options;
+  const { clock, random, adapter, membership, contact, domainMembers, delimiters, upstreams, log } = options;
   const discoveryLog = log.child({ part: 'meeting' });
   return new PeerDiscovery({
     clock,
     random,
     table: adapter.discoveryTable,
     membership,
-    maintainsTable,
+    maintainsTable: options.maintainsTable,
     persisted: () => ({
       departures: upstreams.departures,
       upstreams: upstreams.identifiedUpstreams,
       ...delimiters.evidence,
     }),
     onRestore: recorded => restore(recorded, options),
-    onRows: rows => delimiters.setReported(rows.flatMap(({ delimitingServices }) => delimitingServices)),
+    onRows: rows => {
+      delimiters.setReported(rows.flatMap(({ delimitingServices }) => delimitingServices));
+      domainMembers.setRows(rows);
+    },
     onReachability: isReachable => contact.record(isReachable),
     log: (message, facts) => discoveryLog.info({ ...facts, platform: contact.facts }, `Meeting: ${message}`),
   });
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -23,3 +23,4 @@
   type ListedRow,
   type DiscoveryTable,
 } from './peerDiscovery.js';
+export { DomainMembers, type DomainMembersOptions } from './domainMembers.js';
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -119,14 +119,9 @@
     return [...this.table.all()].filter(m => isUp(m) && m.address !== this.self.address).length;
   }
 
-  /** Daemons of a failure domain, including this one, that are up, or were declared dead so recently that they may only be partitioned. */
-  countRecentlyUp(failureDomain: string, withinMs: number): number {
-    const since = this.options.clock.now() - withinMs;
-    return [...this.table.all()].filter(
-      m =>
-        m.failureDomain === failureDomain &&
-        (isUp(m) || (m.state === 'DEAD' && (this.goneSince.get(m.address) ?? 0) > since)),
-    ).length;
+  /** How long ago this daemon learned that the member is dead or has left, ms; infinite if it did not. */
+  goneForMs(address: string): number {
+    return this.options.clock.now() - (this.goneSince.get(address) ?? Number.NEGATIVE_INFINITY);
   }
 
   /** Monotonic time at which a datagram of the member was last received, ms; undefined if there was none. */
--- a/packages/membership/src/peerDiscovery.ts
+++ b/packages/membership/src/peerDiscovery.ts
@@ -46,6 +46,8 @@
   readonly address: string;
   /** ip:port for gossip datagrams. */
   readonly gossipAddress: string;
+  /** Empty in rows of builds that did not write it. */
+  readonly failureDomain: string;
   /** Upstreams that have announced to this daemon that they are shutting down. */
   readonly departures: readonly Departure[];
   /** The local upstreams, so that a restarted daemon need not wait for their next heartbeats. */
@@ -57,7 +59,7 @@
 }
 
 /** The part of a row that a later process of the daemon restores. */
-export type PersistedState = Omit<DiscoveryRow, 'address' | 'gossipAddress'>;
+export type PersistedState = Omit<DiscoveryRow, 'address' | 'gossipAddress' | 'failureDomain'>;
 
 /** A row with its version in the table. */
 export interface ListedRow extends DiscoveryRow {
@@ -121,6 +123,9 @@
   /** Ends the delay between two rounds. */
   private delayAborter = new AbortController();
   private isTableUnreachable = false;
+  /** Whether this daemon had no row before, so that others that start at the same time may not have listed it, nor it them. */
+  private isNew = false;
+  private rounds = 0;
   private resolveFirstRound: () => void = () => undefined;
   /** Resolves after the first successful round. */
   readonly firstRoundDone = new Promise<void>(resolve => (this.resolveFirstRound = resolve));
@@ -174,7 +179,7 @@
   private intervalMs(): number {
     const { membership, maintainsTable } = this.options;
     if (this.mustWrite) return RETRY_DELAY_MS;
-    if (membership.aliveCount() === 0) return ALONE_INTERVAL_MS;
+    if (membership.aliveCount() === 0 || !this.isListComplete) return ALONE_INTERVAL_MS;
     return maintainsTable() ? MAINTENANCE_INTERVAL_MS : OWN_ROW_INTERVAL_MS;
   }
 
@@ -186,15 +191,15 @@
       if (this.mustWrite) await this.write(signal);
       const rows = await table.list(signal);
       this.options.onRows(rows);
-      const { gossipAddress } = this.options.membership.me;
       const own = rows.find(({ address }) => address === this.self);
       this.version = own?.version ?? 0;
-      this.hasRow = own?.gossipAddress === gossipAddress;
+      this.hasRow = this.isOwn(own);
       this.options.membership.join(this.othersIn(rows));
       await this.removeGone(rows, signal);
       if (this.isTableUnreachable) log('The table is reachable again.', { rows: rows.length });
       this.isTableUnreachable = false;
       this.options.onReachability(true);
+      this.rounds++;
       this.resolveFirstRound();
     } catch (error) {
       if (!this.isTableUnreachable && !signal.aborted)
@@ -206,7 +211,7 @@
 
   /** Creates the row only if it is absent, so as not to lose what an earlier process of this daemon recorded. */
   private async create(signal: AbortSignal): Promise<void> {
-    const { table, onRestore, membership } = this.options;
+    const { table, onRestore } = this.options;
     const { changes } = this;
     const created = await table.create(this.row(), signal);
     const { isDone, recorded } = created;
@@ -214,7 +219,22 @@
     if (recorded) onRestore(recorded);
     this.hasCreated = true;
     this.version = created.version;
-    this.hasRow = isDone || recorded?.gossipAddress === membership.me.gossipAddress;
+    this.isNew = isDone;
+    this.hasRow = isDone || this.isOwn(recorded);
+  }
+
+  /**
+   * Whether the last list has every daemon that could have started to use a share of anything: a daemon that had a row was listed by all that
+   * started later, and has listed all that started before; a new one lists again once those that started with it have their rows.
+   */
+  get isListComplete(): boolean {
+    return this.rounds >= (this.isNew ? 2 : 1);
+  }
+
+  /** Whether a row is that of this process's addresses. */
+  private isOwn(row: DiscoveryRow | undefined): boolean {
+    const { gossipAddress, failureDomain } = this.options.membership.me;
+    return row?.gossipAddress === gossipAddress && row.failureDomain === failureDomain;
   }
 
   private get mustWrite(): boolean {
@@ -271,7 +291,7 @@
   }
 
   private row(): DiscoveryRow {
-    const { address, gossipAddress } = this.options.membership.me;
-    return { address, gossipAddress, ...this.options.persisted() };
+    const { address, gossipAddress, failureDomain } = this.options.membership.me;
+    return { address, gossipAddress, failureDomain, ...this.options.persisted() };
   }
 }
--- a/tests/peerDiscovery.spec.ts
+++ b/tests/peerDiscovery.spec.ts
@@ -8,10 +8,12 @@
 import { expect } from 'chai';
 
 const SELF = '127.0.0.1:1';
+const MAX_SECOND_ROUND_MS = 1300;
 const DEPARTURE = { instanceId: 'left', born: 0 };
 const RECORDED: DiscoveryRow = {
   address: SELF,
   gossipAddress: SELF,
+  failureDomain: 'a',
   departures: [DEPARTURE],
   upstreams: [],
   delimitingServices: ['orders'],
@@ -20,24 +22,28 @@
 
 /** The part of a membership that peer discovery uses, without any other member. */
 const membership = {
-  me: { address: SELF, gossipAddress: SELF },
+  me: { address: SELF, gossipAddress: SELF, failureDomain: 'a' },
   join: () => undefined,
   aliveCount: () => 0,
   table: new Map(),
 } as unknown as Membership;
 
 describe('the row of a daemon in the discovery table', () => {
+  let clock: ManualClock;
   let rows: DiscoveryRow[];
   let persisted: PersistedState;
   let allowRead: () => void;
   let discovery: PeerDiscovery;
 
+  const settle = () => new Promise(resolve => setImmediate(resolve));
+
   beforeEach(() => {
+    clock = new ManualClock();
     rows = [RECORDED];
     persisted = { departures: [], upstreams: [], delimitingServices: [], closeDelimitedRoutes: [] };
     const readAllowed = new Promise<void>(resolve => (allowRead = resolve));
     discovery = new PeerDiscovery({
-      clock: new ManualClock(),
+      clock,
       random: () => 0.5,
       membership,
       maintainsTable: () => false,
@@ -77,6 +83,25 @@
     expect(rows[0]?.closeDelimitedRoutes).to.deep.equal(RECORDED.closeDelimitedRoutes);
   });
 
+  it('counts its list as complete only after a second round if it had no row, since others may start at the same time', async () => {
+    rows = [];
+    discovery.start();
+    allowRead();
+    await discovery.firstRoundDone;
+    expect(discovery.isListComplete).to.equal(false);
+    await settle();
+    clock.advance(MAX_SECOND_ROUND_MS);
+    await settle();
+    expect(discovery.isListComplete).to.equal(true);
+  });
+
+  it('counts its list as complete after the first round if it had a row, which others that start have listed', async () => {
+    discovery.start();
+    allowRead();
+    await discovery.firstRoundDone;
+    expect(discovery.isListComplete).to.equal(true);
+  });
+
   it('does not prevent a stop in the middle of a round', async () => {
     discovery.start();
     const stopped = discovery[Symbol.asyncDispose]();
