Read the platform in time after an outage, whichever one daemon reaches it, and fetch from peers at once then

Cause: a reader paused for a second for each reader of its failure domain after a failed read, six while all fail, without any random part. Then each daemon waited 400 ms for its own read before it fetched from a peer, also if its reads failed or it had no configuration, and asked readers of its failure domain first whose reads failed, too. Change: each reader begins a read each 0.75 to 1.25 s at random, counted from the beginning of the last one, so that any one of them that reaches the platform is enough; the first success of any other call ends the pause; only a reader whose reads succeed waits for them; those whose reads fail are not asked for what they can't have. Cost: up to six reads a second in each failure domain while the platform is away, where one or two were meant.

--- a/packages/configuration/src/configurationWatcher.ts
+++ b/packages/configuration/src/configurationWatcher.ts
@@ -2,15 +2,15 @@
  * Watches a source of configurations, and adopts each new version. Only a few daemons in each failure domain do so, and the others receive
  * versions from them, so that the number of daemons that read the source does not grow with the fleet.
  */
-import { type Clock } from '@cleatquay/clock';
+import { type Clock, type Random } from '@cleatquay/clock';
 import { type Failure, asFailure } from '@cleatquay/errors';
 import { type Configuration } from './configuration.js';
 import { type Freshness, type Moment } from './freshness.js';
 import { RecentTexts } from './recentTexts.js';
 import { type Sections } from './sections.js';
 
-/** Interval at which a daemon that does not read the source checks whether it has to, ms. */
-const CHECK_INTERVAL_MS = 500;
+/** Mean interval at which a daemon that does not read the source checks whether it has to, ms; at most half a second. */
+const CHECK_INTERVAL_MS = 400;
 /** A daemon that leaves the source to others still reads it after so long, ms, in case all platform readers fail in a way that it can't detect. */
 const FALLBACK_READ_MS = 60_000;
 
@@ -20,6 +20,8 @@
  * outage lasts, the daemons whose read after `FALLBACK_READ_MS`, or in isolation, has failed.
  */
 const UNREACHABLE_READ_MS = 5000;
+/** Minimum pause after a failed read, ms: a read that times out lasts longer than most intervals. */
+const MIN_PAUSE_MS = 100;
 /** Number of refusals that are remembered, so that each is logged once however often the version is read. */
 const MAX_REMEMBERED_REFUSALS = 100;
 
@@ -43,6 +45,7 @@
 /** Options of `ConfigurationWatcher`. */
 export interface ConfigurationWatcherOptions {
   readonly clock: Clock;
+  readonly random: Random;
   readonly configuration: Configuration<unknown>;
   readonly source: ConfigurationSource;
   /** Receives the freshness proof of each call. */
@@ -53,8 +56,8 @@
   readonly waitMs: (isFirst: boolean) => number;
   /** Interval of reads that don't wait for a change, ms; undefined to wait. A wait is a proof as of its beginning, which is old when it ends. */
   readonly readIntervalMs: () => number | undefined;
-  /** Delay after a failed read, ms. */
-  readonly retryDelayMs: () => number;
+  /** Mean interval between the beginnings of reads that fail, ms. */
+  readonly retryIntervalMs: () => number;
   /** Called with whether the source is reachable, after each successful call and each failed read. */
   readonly onReachability: (isReachable: boolean) => void;
   readonly log: (message: string, facts: object) => void;
@@ -68,6 +71,8 @@
   /** Whether to read, or to wait for what comes after the last call: after one that brought a version, or after one that didn't. */
   private nextCall: 'read' | 'wait-after-version' | 'wait' = 'read';
   private mismatchedGeneration = 0;
+  /** Ends the pause after a failed read. */
+  private pauseAborter = new AbortController();
   private checkedAt = Number.NEGATIVE_INFINITY;
   private readonly refusals = new RecentTexts(MAX_REMEMBERED_REFUSALS);
 
@@ -85,6 +90,11 @@
     this.mismatchedGeneration = this.options.configuration.generation;
   }
 
+  /** Another call of this daemon has reached the source: a read that waits for its turn after a failure is due now. */
+  onSourceReachable(): void {
+    this.pauseAborter.abort();
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     this.stopped.abort();
     await this.watching;
@@ -95,7 +105,7 @@
     while (!signal.aborted) {
       if (!this.mayCallSource()) {
         this.nextCall = 'read';
-        await this.options.clock.sleep(CHECK_INTERVAL_MS, signal);
+        await this.options.clock.sleep(this.spread(CHECK_INTERVAL_MS), signal);
         continue;
       }
       this.checkedAt = this.options.clock.now();
@@ -105,10 +115,24 @@
       const hasSucceeded = await this.runNextCall(signal);
       if (hasSucceeded) await this.waitForInterval(startedAt, signal);
       if (hasSucceeded || wasWait) continue;
-      await this.options.clock.sleep(this.options.retryDelayMs(), signal);
+      await this.pause(startedAt);
     }
   }
 
+  /** Waits until the next read is due after a failed one that began at `startedAt`. Ends at once if the source turns out to be reachable. */
+  private async pause(startedAt: number): Promise<void> {
+    const { clock, retryIntervalMs } = this.options;
+    const leftMs = startedAt + this.spread(retryIntervalMs()) - clock.now();
+    this.pauseAborter = new AbortController();
+    const signal = AbortSignal.any([this.stopped.signal, this.pauseAborter.signal]);
+    await clock.sleep(Math.max(leftMs, this.spread(MIN_PAUSE_MS)), signal);
+  }
+
+  /** What fails at several daemons at once must not be repeated by them in step. */
+  private spread(ms: number): number {
+    return ms * (0.75 + this.options.random() / 2);
+  }
+
   private async waitForInterval(startedAt: number, signal: AbortSignal): Promise<void> {
     const { clock, readIntervalMs } = this.options;
     const leftMs = startedAt + (readIntervalMs() ?? 0) - clock.now();
--- a/packages/daemon/src/configurationUpdater.ts
+++ b/packages/daemon/src/configurationUpdater.ts
@@ -68,6 +68,11 @@
     this.distribution.handleAnnouncement(announced, peer);
   }
 
+  /** Handles the first successful call to the platform, of any task, after an outage. */
+  onPlatformReached(): void {
+    this.watcher.onSourceReachable();
+  }
+
   /** How long a version that is not active here has been known, ms; 0 if none is known. */
   get behindMs(): number {
     return this.distribution.behindMs;
@@ -105,9 +110,11 @@
   }
 
   private createWatcher(): ConfigurationWatcher {
-    const { clock, configuration, source, freshness, membership, contact, proofRenewer, log } = this.options;
+    const { clock, random, configuration, source, freshness } = this.options;
+    const { membership, contact, proofRenewer, log } = this.options;
     return new ConfigurationWatcher({
       clock,
+      random,
       configuration,
       source,
       freshness,
@@ -115,7 +122,7 @@
       waitMs: isFirst =>
         Math.min(this.readers.waitMs(isFirst), proofRenewer?.maxWaitMs ?? Number.POSITIVE_INFINITY),
       readIntervalMs: () => proofRenewer?.readIntervalMs,
-      retryDelayMs: () => this.readers.retryDelayMs,
+      retryIntervalMs: () => this.readers.retryIntervalMs,
       onReachability: isReachable => {
         contact.record(isReachable);
         membership.setPlatformLost(!isReachable);
@@ -134,7 +141,7 @@
       store: undefined,
       isReader: () => false,
       onReachability: () => undefined,
-      fetchDelayMs: peer => this.readers.fetchDelayMs(peer),
+      fetchDelayMs: peer => this.readers.fetchDelayMs(peer, configuration.generation > 0),
       fetch,
       fetchOrder: candidates => this.readers.fetchOrder(candidates),
       onAnnounced: (generation, peer) =>
--- a/packages/daemon/src/platformContact.ts
+++ b/packages/daemon/src/platformContact.ts
@@ -7,7 +7,11 @@
   private backAt: number | undefined;
   private failures = 0;
 
-  constructor(private readonly clock: Pick<Clock, 'now'>) {}
+  /** `onBack` is called at the first success after a failure. */
+  constructor(
+    private readonly clock: Pick<Clock, 'now'>,
+    private readonly onBack: () => void,
+  ) {}
 
   /** Records the end of a call. */
   record(hasSucceeded: boolean): void {
@@ -18,6 +22,7 @@
     } else if (this.lostAt !== undefined) {
       this.lostAt = undefined;
       this.backAt = now;
+      this.onBack();
     }
   }
 
--- a/packages/daemon/src/platformReaders.ts
+++ b/packages/daemon/src/platformReaders.ts
@@ -17,7 +17,7 @@
  * all readers and fallback readers fail, all of them keep trying, since the platform may now reject other daemons.
  */
 const FALLBACK_READERS = 4;
-/** How long a reader tries to read a version from the platform before it fetches it from a peer, ms. */
+/** How long a reader whose reads succeed waits for a version from the platform before it fetches it from a peer, ms. */
 const READER_FETCH_DELAY_MS = 400;
 /**
  * Delay before a version is fetched from a peer in another failure domain, ms. By then the readers of this daemon's own
@@ -32,12 +32,13 @@
  */
 const WAIT_STAGGER_MS = 1000;
 /**
- * Delay after a failed read, ms for each reader of the failure domain. So one of the readers retries about once in this
- * time, however many there are. That is less than the 2 s within which a change must be active once the platform is
- * available again. While the platform rejects different daemons each second, a change may be delayed until the end of
- * such a delay.
+ * Mean interval between failed reads of a reader, ms. Each of them alone reads in time for the 2 s within which a change must be active once
+ * the platform is available again: that several readers share the work holds only while their turns differ, and what makes all of them
+ * fail makes them fail together. While all fail there are at most six in a failure domain.
  */
-const RETRY_DELAY_PER_READER_MS = 1000;
+const RETRY_INTERVAL_MS = 1000;
+/** The same for a daemon that is not a reader, ms, and has no configuration yet: it gets one from those that are. */
+const OTHER_RETRY_INTERVAL_MS = 6000;
 /** Assumed number of readers for the wait of a daemon that is not a reader. */
 const TYPICAL_READERS = 6;
 /** Maximum number of daemons that have the same daemon as a source, per reader if their sources are readers. */
@@ -125,20 +126,28 @@
 
   /**
    * Returns the order in which to fetch a version that `candidates` report to have: first the candidates in this failure
-   * domain, then its readers, which most likely have read it as well, and last the candidates in others, since traffic
+   * domain, then those of its readers whose reads succeed, which most likely have read it as well, and last the candidates in others, since traffic
    * between failure domains is expensive.
    */
   fetchOrder(candidates: readonly string[]): readonly string[] {
     const sameDomain = candidates.filter(peer => this.isInSameDomain(peer));
     const otherDomain = candidates.filter(peer => !this.isInSameDomain(peer));
-    const readers = this.sameDomainReaders.filter(address => address !== this.membership.me.address);
+    const readers = this.connectedReaders.filter(address => address !== this.membership.me.address);
     return [...new Set([...sameDomain, ...readers, ...otherDomain])];
   }
 
-  /** Delay before fetching a version from a peer that reports to have it, ms. */
-  fetchDelayMs(peer: string): number {
-    if (this.isReader) return READER_FETCH_DELAY_MS;
-    return this.isInSameDomain(peer) ? 0 : OTHER_DOMAIN_FETCH_DELAY_MS;
+  /**
+   * Delay before fetching a version from a peer that reports to have it, ms. Only a daemon that can soon expect it from elsewhere waits: a reader
+   * from the platform, and others from a reader of their failure domain.
+   */
+  fetchDelayMs(peer: string, hasConfiguration: boolean): number {
+    const { connectedReaders } = this;
+    const { address } = this.membership.me;
+    if (hasConfiguration && connectedReaders.includes(address)) return READER_FETCH_DELAY_MS;
+    if (this.isInSameDomain(peer)) return 0;
+    const isFirst = this.sameDomainReaders.slice(0, READERS_PER_DOMAIN).includes(address);
+    const mayBeFirst = connectedReaders.length === 0 || !hasConfiguration;
+    return isFirst && mayBeFirst ? 0 : OTHER_DOMAIN_FETCH_DELAY_MS;
   }
 
   /**
@@ -172,9 +181,9 @@
       .map(({ address }) => address);
   }
 
-  /** Delay after a failed read of the platform, ms. */
-  get retryDelayMs(): number {
-    return Math.max(1, this.sameDomainReaders.length) * RETRY_DELAY_PER_READER_MS;
+  /** Mean interval between failed reads of the platform, ms. */
+  get retryIntervalMs(): number {
+    return this.isReader ? RETRY_INTERVAL_MS : OTHER_RETRY_INTERVAL_MS;
   }
 
   /** The readers of all failure domains, in the same order on all daemons. */
@@ -184,6 +193,12 @@
     return domains.flatMap(domain => platformReadersOf(domain, members));
   }
 
+  /** The readers of this failure domain whose reads succeed, as far as known. */
+  private get connectedReaders(): string[] {
+    const lost = new Set(this.ranked.filter(({ isPlatformLost }) => isPlatformLost).map(one => one.address));
+    return this.sameDomainReaders.filter(address => !lost.has(address));
+  }
+
   private get sameDomainReaders(): string[] {
     return readersAmong(this.ranked);
   }
--- a/packages/daemon/src/relayDaemon.ts
+++ b/packages/daemon/src/relayDaemon.ts
@@ -123,7 +123,7 @@
     const { metrics } = this;
     this.configurationLog = log.child({ part: 'configuration' });
     this.learnedCalls = new LearnedCalls(clock);
-    this.platformContact = new PlatformContact(clock);
+    this.platformContact = new PlatformContact(clock, () => this.updater.onPlatformReached());
     const processorLog = log.child({ part: 'processor' });
     this.processor = new Processor({
       clock,
--- a/tests/configurationWatcher.spec.ts
+++ b/tests/configurationWatcher.spec.ts
@@ -43,7 +43,8 @@
       mustReadPlatform: () => mustReadPlatform,
       waitMs: () => 1000,
       readIntervalMs: () => undefined,
-      retryDelayMs: () => 500,
+      random: () => 0.5,
+      retryIntervalMs: () => 500,
       onReachability: isReachable => reachability.push(isReachable),
       log: () => undefined,
     });
--- a/tests/platformReaders.spec.ts
+++ b/tests/platformReaders.spec.ts
@@ -83,6 +83,21 @@
     expect(activeReaders()).to.include(view.fetchOrder([OTHER_DOMAIN])[0]);
     expect(view.fetchOrder([OTHER_DOMAIN]).at(-1)).to.equal(OTHER_DOMAIN);
     expect(view.fetchOrder([OTHER_DOMAIN, SAME_DOMAIN[0]!])[0]).to.equal(SAME_DOMAIN[0]);
-    expect(view.fetchDelayMs(OTHER_DOMAIN)).to.be.above(view.fetchDelayMs(SAME_DOMAIN[0]!));
+    expect(view.fetchDelayMs(OTHER_DOMAIN, true)).to.be.above(view.fetchDelayMs(SAME_DOMAIN[0]!, true));
+  });
+
+  it('waits for its own read before it fetches a version only if its reads succeed, and it has a configuration', () => {
+    const self = activeReaders()[0]!;
+    const peer = SAME_DOMAIN.find(address => address !== self)!;
+    expect(readersSeenBy(self).fetchDelayMs(peer, true)).to.be.above(0);
+    expect(readersSeenBy(self).fetchDelayMs(peer, false)).to.equal(0);
+    for (const member of members.values()) member.isPlatformLost = true;
+    expect(readersSeenBy(self).fetchDelayMs(peer, true)).to.equal(0);
+    expect(readersSeenBy(self).fetchDelayMs(OTHER_DOMAIN, true)).to.equal(0);
+  });
+
+  it('does not fetch a version from readers whose reads fail before the peer that has it', () => {
+    for (const member of members.values()) member.isPlatformLost = true;
+    expect(readersSeenBy(SAME_DOMAIN[0]!).fetchOrder([OTHER_DOMAIN])).to.deep.equal([OTHER_DOMAIN]);
   });
 });
