--- a/packages/standins/src/loopbackProxy.ts
+++ b/packages/standins/src/loopbackProxy.ts
@@ -1,12 +1,22 @@
 /** A TCP proxy on loopback that simulates network faults between a process and a server. */
 import { type AddressInfo, type Server, type Socket, connect, createServer } from 'node:net';
+import { Transform } from 'node:stream';
 
 /** How new connections are handled. */
 export type ProxyMode = 'pass' | 'reset';
 
+/** A stream that passes on each piece after a delay, in order. */
+function delayBy(ms: number): Transform {
+  return new Transform({
+    transform: (piece: Buffer, _, done) => void setTimeout(() => done(null, piece), ms),
+  });
+}
+
 /** Forwards connections unless a fault is injected. */
 export class LoopbackProxy implements AsyncDisposable {
   mode: ProxyMode = 'pass';
+  /** Delay of what new connections carry, in each direction, ms. */
+  delayMs = 0;
   private readonly openSockets = new Set<Socket>();
   private readonly server: Server;
 
@@ -58,7 +68,8 @@
 
   private pipe(from: Socket, to: Socket): void {
     this.openSockets.add(from);
-    from.pipe(to);
+    if (this.delayMs > 0) from.pipe(delayBy(this.delayMs)).pipe(to);
+    else from.pipe(to);
     from.on('error', () => to.destroy());
     from.on('close', () => {
       this.openSockets.delete(from);
