End waits and pauses without combined signals, and bound the reports of shares

Shares are looked at four times a second at most, also while requests wait, and are rounded in reports.

--- a/packages/configuration/src/configurationWatcher.ts
+++ b/packages/configuration/src/configurationWatcher.ts
@@ -77,6 +77,8 @@
   /** Whether to read, or to wait for what comes after the last call: after one that brought a version, or after one that didn't. */
   private nextCall: 'read' | 'wait-after-version' | 'wait' = 'read';
   private mismatchedGeneration = 0;
+  /** During a wait. */
+  private peerWatch: PeerWatch | undefined;
   /** Ends the pause after a failed read. */
   private pauseAborter = new AbortController();
   private checkedAt = Number.NEGATIVE_INFINITY;
@@ -103,6 +105,8 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     this.stopped.abort();
+    this.pauseAborter.abort();
+    this.peerWatch?.end();
     await this.watching;
   }
 
@@ -127,11 +131,11 @@
 
   /** Waits until the next read is due after a failed one that began at `startedAt`. Ends at once if the source turns out to be reachable. */
   private async pause(startedAt: number): Promise<void> {
+    if (this.stopped.signal.aborted) return;
     const { clock, retryIntervalMs } = this.options;
     const leftMs = startedAt + this.spread(retryIntervalMs()) - clock.now();
     this.pauseAborter = new AbortController();
-    const signal = AbortSignal.any([this.stopped.signal, this.pauseAborter.signal]);
-    await clock.sleep(Math.max(leftMs, this.spread(MIN_PAUSE_MS)), signal);
+    await clock.sleep(Math.max(leftMs, this.spread(MIN_PAUSE_MS)), this.pauseAborter.signal);
   }
 
   /** What fails at several daemons at once must not be repeated by them in step. */
@@ -159,8 +163,9 @@
     const isRead = this.nextCall === 'read';
     const startedAt = freshness.moment();
     const peers = isRead ? undefined : this.watchPeers();
+    this.peerWatch = peers;
     try {
-      const version = await this.callSource(peers ? AbortSignal.any([signal, peers.signal]) : signal);
+      const version = await this.callSource(peers?.signal ?? signal);
       this.nextCall = version ? 'wait-after-version' : 'wait';
       this.onSourceReached();
       if (version) configuration.adoptContent(version.generation, version.sections, 'platform');
--- a/packages/configuration/src/peerWatch.ts
+++ b/packages/configuration/src/peerWatch.ts
@@ -21,11 +21,16 @@
     this.schedule();
   }
 
-  /** Aborts when the number has risen. */
+  /** Aborts when the number has risen, or at `end`. */
   get signal(): AbortSignal {
     return this.aborter.signal;
   }
 
+  /** Ends the wait. */
+  end(): void {
+    this.aborter.abort();
+  }
+
   [Symbol.dispose](): void {
     this.timer?.[Symbol.dispose]();
   }
@@ -37,7 +42,7 @@
 
   private look(): void {
     const lost = this.options.lostPeers();
-    if (lost > this.fewest) return this.aborter.abort();
+    if (lost > this.fewest) return this.end();
     this.fewest = lost;
     this.schedule();
   }
--- a/packages/organisations/src/quotas.ts
+++ b/packages/organisations/src/quotas.ts
@@ -9,7 +9,7 @@
 import { QuotaCoordinator, type QuotaCoordinatorOptions } from './quotaCoordinator.js';
 import { QuotaQueue, type QuotaDecision } from './quotaQueue.js';
 import { ShareLessor } from './shareLessor.js';
-import { ShareChanges, type ShareReport } from './shareReport.js';
+import { ShareChanges, type ShareReport, roundedShares } from './shareReport.js';
 import { LEASE_MS } from './shareLeases.js';
 import { SHARD_COUNT, shardOf } from './shards.js';
 
@@ -41,7 +41,7 @@
    * be partitioned; undefined while unknown.
    */
   readonly shareCount: () => number | undefined;
-  /** Called with each change of the shares that this daemon holds, or of its own; at most once in `LEASE_RENEWAL_MS` while it is idle. */
+  /** Called with changes of the shares that this daemon holds, and of its own, a few times a second at most. */
   readonly onShares?: (report: ShareReport) => void;
   readonly sendRequest: (to: string, request: QuotaQuestion) => void;
   readonly sendResponse: (to: string, response: QuotaAnswer) => void;
@@ -114,7 +114,7 @@
     const now = this.options.clock.now();
     const shards = this.shards.map((_, index) => ({
       coordinator: this.directory.inSameDomain(index, now),
-      held: Object.fromEntries(this.coordinator.heldShares(index)),
+      held: roundedShares(this.coordinator.heldShares(index)),
     }));
     return { shareCount: this.options.shareCount(), shards };
   }
@@ -281,7 +281,7 @@
       queue.expire(now - MAX_WAIT_MS);
       if (!queue.isEmpty || now - lastSentAt >= LEASE_RENEWAL_MS) this.sendRequests(shard, now);
     }
-    this.shareChanges.observe(this.shareReport);
+    if (this.options.onShares) this.shareChanges.observe(() => this.shareReport, now);
     if (this.quotas.size > 0 || this.shards.some(({ queue }) => !queue.isEmpty)) this.scheduleTick();
   }
 
